--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,108 @@
+"""The adapter: wire in, wire out, and what it says of input that is malformed."""
+
+from __future__ import annotations
+
+import io
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from winchdyke.benchlink import WireError, serve
+
+ROOT = Path(__file__).parent.parent
+INFO = {
+    "balancers": 2,
+    "index": 0,
+    "unheard_of": {"x": 1},
+    "classes": [
+        {"name": "read", "worth": 2.0, "promise_ms": 300.0, "deadline_ms": 2000.0, "effect": "idempotent"}
+    ],
+    "grades": [{"name": "gold", "usual_rate": 5.0, "reservation": 5.0, "proportion": 2.0}],
+    "policy_limits": {"max_attempts": 3},
+}
+
+
+def start(who: str) -> str:
+    return (
+        f"POWER_ON\t{who}\t7\t{json.dumps(INFO)}\n"
+        f"MEMBERS\t{who}\t2\t1\t1\nM\t1\tz\t-\t10.0.0.1:1\tkind\t1\t0\n"
+    )
+
+
+def demand(who: str, name: str) -> str:
+    return f"DEMAND\t{who}\t{name}\tread\tgold\tk\t900.0\tv\t2\t0\t1\t0\n"
+
+
+def reply(text: str) -> str:
+    sink = io.StringIO()
+    serve(io.StringIO(text), sink)
+    return sink.getvalue()
+
+
+def test_a_request_is_sent_and_an_empty_batch_answered():
+    out = reply("CLOCK\t1\nFLUSH\n\nCLOCK\t2\n" + start("gateway/0") + demand("gateway/0", "a") + "FLUSH\n")
+    assert out.startswith("NEXT\n")
+    assert "ISSUE\tgateway/0\ta\t10.0.0.1:1\t0.000\n" in out
+    assert out.endswith("NEXT\n")
+
+
+def test_instances_share_nothing():
+    def lines(text: str, who: str) -> list[str]:
+        return [line for line in reply(text).splitlines() if f"\t{who}" in line]
+
+    def batches(names: list[str]) -> str:
+        head = "CLOCK\t1\n" + "".join(start(who) for who in names) + "FLUSH\n"
+        asks = "".join(demand(who, f"{who[-1]}{n}") for n in range(9) for who in names)
+        return head + "CLOCK\t5\n" + asks + "FLUSH\n"
+
+    together = batches(["gateway/0", "gateway/1"])
+    for who in ("gateway/0", "gateway/1"):
+        assert lines(together, who) == lines(batches([who]), who)
+
+
+def test_a_killed_instance_forgets_everything_and_may_start_again():
+    out = reply(
+        "CLOCK\t1\n"
+        + start("gateway/0")
+        + demand("gateway/0", "a")
+        + "KILLED\tgateway/0\n"
+        + start("gateway/0")
+        + demand("gateway/0", "b")
+        + "FLUSH\n"
+    )
+    assert "\ta\t" not in out
+    assert "ISSUE\tgateway/0\tb" in out
+
+
+@pytest.mark.parametrize(
+    ("line", "says"),
+    [
+        ("DEMAND\tgateway/0\ta\n", "line 5: DEMAND: a field is missing"),
+        ("DEMAND\tgateway/0\ta\tread\tgold\tk\tsoon\tv\t2\t0\t1\t0\n", "DEMAND: could not convert"),
+        ("DEMAND\tgateway/0\ta\tnone\tgold\tk\t9\tv\t2\t0\t1\t0\n", "'none' is missing or unknown"),
+        ("HELLO\tgateway/0\n", "HELLO: unknown message"),
+        ("VANISHED\tgateway/9\ta\n", "'gateway/9' is not running"),
+        ("POWER_ON\tgateway/1\t7\t{}\n", "POWER_ON"),
+        ("POWER_ON\tgateway/1\t7\t{nonsense\n", "POWER_ON"),
+    ],
+)
+def test_malformed_input_is_named(line, says):
+    with pytest.raises(WireError, match="line") as error:
+        reply("CLOCK\t1\n" + start("gateway/0") + line + "FLUSH\n")
+    assert says in str(error.value)
+
+
+def test_the_program_ends_with_one_plain_line_and_a_status():
+    done = subprocess.run(
+        [sys.executable, "-m", "winchdyke.benchlink"],
+        input="CLOCK\tnever\n",
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+    )
+    assert done.returncode == 1
+    assert done.stderr.startswith("benchlink: line 1: CLOCK") and done.stderr.count("\n") == 1
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,133 @@
+"""The design's mechanism, and a test for each failure that was found."""
+
+from __future__ import annotations
+
+import itertools
+
+from conftest import Gateway, node, request
+
+from winchdyke import interface as api
+from winchdyke.interface import Outcome
+from winchdyke.policy import CEILING, FLOOR, INTERVAL_MS, START, CoDel, Window
+
+
+def stepped(window: Window, latency: float, expected: float, rounds: int, used: int = 32) -> float:
+    for at in range(1, rounds + 1):
+        for _ in range(10):
+            window.sample(latency, expected)
+        window.peak = used
+        window.step(window.due + at, normal=2.0)
+    return window.size
+
+
+def test_window_grows_by_the_root_step_while_latency_holds_and_stops_at_the_ceiling():
+    window = Window(0.0)
+    assert START < stepped(window, 40.0, 40.0, 1) <= START + START**0.5
+    assert stepped(window, 40.0, 40.0, 60) == CEILING
+
+
+def test_window_does_not_grow_when_less_than_half_used():
+    assert stepped(Window(0.0), 40.0, 40.0, 10, used=1) == START
+
+
+def test_window_falls_to_the_floor_under_lasting_congestion():
+    """Congestion must not be learnt as normal, however long it lasts."""
+    window = Window(0.0)
+    stepped(window, 40.0, 40.0, 5)
+    assert stepped(window, 400.0, 40.0, 200) == FLOOR
+
+
+def test_big_requests_do_not_read_as_overload():
+    window = Window(0.0)
+    stepped(window, 40.0, 40.0, 5)
+    size = window.size
+    assert stepped(window, 160.0, 160.0, 5) >= size
+
+
+def test_too_few_answers_do_not_move_the_window():
+    window = Window(0.0)
+    window.sample(900.0, 40.0)
+    window.step(INTERVAL_MS * 3, normal=2.0)
+    assert window.size == START
+
+
+def test_codel_lets_a_short_stand_pass_and_then_drops_ever_faster():
+    codel = CoDel(aim=400.0)
+    drops = [now for now in range(0, 4000, 10) if codel.drops(float(now), 350.0)]
+    assert drops[0] >= 400
+    gaps = [after - before for before, after in itertools.pairwise(drops)]
+    assert gaps[-1] < gaps[0]
+    assert not codel.drops(4000.0, 10.0)
+    assert not codel.drops(4010.0, 350.0)
+
+
+def test_the_window_bounds_what_is_out_and_shares_are_firm_when_it_is_full(gateway):
+    gateway.give(*[request(f"r{n}") for n in range(30)])
+    reads = len(gateway.sends)
+    assert reads == int(START)
+    gateway.ask("w", class_name="write")
+    assert gateway.sent("w")
+    gateway.give(*[request(f"w{n}", class_name="write") for n in range(30)])
+    assert len(gateway.sends) <= 2 * START
+
+
+def test_the_more_valuable_request_goes_first(gateway):
+    gateway.give(*[request(f"r{n}") for n in range(10)])
+    gateway.run(500.0)
+    gateway.give(request("open"), request("gold", plan="gold", volume="v2"))
+    gateway.end("r0", Outcome.SERVED)
+    assert gateway.sent("gold") and not gateway.sent("open")
+
+
+def test_held_requests_are_refused_after_a_stand(gateway):
+    gateway.give(*[request(f"r{n}", shard=0) for n in range(30)])
+    gateway.run(1500.0)
+    assert any(isinstance(answer, api.Refuse) for answer in gateway.answers.values())
+
+
+def test_a_silent_node_gets_single_trials_and_an_answer_ends_that(gateway):
+    gateway.give(*[request(f"r{n}") for n in range(4)])
+    gateway.run(700.0)
+    assert any("suspect" in line for line in gateway.logs)
+    gateway.give(*[request(f"s{n}") for n in range(10)])
+    gateway.run(600.0)
+    assert len(gateway.sends) <= 4 + 2
+    gateway.end("r0", Outcome.SERVED)
+    assert any("answers again" in line for line in gateway.logs)
+
+
+def test_a_node_that_comes_back_after_failed_connections_is_cold(gateway):
+    gateway.ask("a")
+    gateway.end("a", Outcome.DIAL_FAILED, closed=False)
+    gateway.run(300.0)
+    gateway.end("a", Outcome.SERVED)
+    sent = len(gateway.sends)
+    gateway.give(*[request(f"r{n}", units=8.0) for n in range(10)])
+    assert len(gateway.sends) == sent
+    gateway.run(1500.0)
+    assert len(gateway.sends) > sent
+
+
+def test_a_new_object_goes_where_it_is_served_soonest(gateway):
+    gateway.give(*[request(f"r{n}") for n in range(10)])
+    gateway.ask("new", class_name="write", shard=-1)
+    assert gateway.sends[-1][1].node == "n1"
+
+
+def test_a_request_without_a_node_is_held_and_then_answered():
+    gateway = Gateway()
+    gateway.nodes(node("n0", 0))
+    gateway.ask("a", shard=9)
+    gateway.run(2000.0)
+    assert isinstance(gateway.answers["a"], api.Refuse)
+
+
+def test_equal_events_give_equal_actions():
+    def played() -> list[api.Send]:
+        gateway = Gateway()
+        gateway.nodes()
+        gateway.give(*[request(f"r{n}", volume=f"v{n % 3}", shard=n % 2) for n in range(20)])
+        gateway.run(900.0)
+        return [send for _, send in gateway.sends]
+
+    assert played() == played()
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,256 @@
+"""The seven rules, each by hand and, where it is an invariant, over random sequences."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from conftest import SETTINGS, Gateway, node, request
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from winchdyke import interface as api
+from winchdyke.interface import NodeState, Outcome
+
+
+def test_held_request_is_answered_before_its_own_time_is_up(gateway):
+    gateway.ask("a", shard=5, left_ms=120.0)
+    gateway.run(117.0)
+    assert gateway.answers == {}
+    gateway.run(3.0)
+    assert isinstance(gateway.answers["a"], api.Refuse)
+
+
+def test_time_out_at_the_deadline_is_failed_once_and_not_sent_again(gateway):
+    gateway.ask("w", class_name="write")
+    gateway.run(2000.0)
+    gateway.end("w", Outcome.TIMED_OUT, closed=False)
+    gateway.run(3000.0)
+    assert gateway.answers == {"w": api.Fail("w")}
+    assert gateway.attempts["w"] == 1
+
+
+def test_an_attempt_that_fails_just_before_the_end_is_answered_at_once(gateway):
+    gateway.ask("a", left_ms=100.0)
+    gateway.run(99.0)
+    gateway.end("a", Outcome.SHED, closed=False)
+    assert isinstance(gateway.answers["a"], api.Refuse)
+
+
+def test_client_gone_needs_no_answer(gateway):
+    gateway.ask("a", shard=5)
+    gateway.give(api.ClientGone("a"), api.ClientGone("never heard of"))
+    gateway.run(3000.0)
+    assert gateway.answers == {}
+
+
+@pytest.mark.parametrize(
+    ("name", "outcome", "again"),
+    [
+        ("read", Outcome.RESET, True),
+        ("write", Outcome.ERROR, True),
+        ("once", Outcome.RESET, False),
+        ("once", Outcome.SHED, True),
+    ],
+)
+def test_repeats_by_effect(gateway, name, outcome, again):
+    gateway.ask("a", class_name=name)
+    gateway.end("a", outcome, closed=False)
+    gateway.run(600.0)
+    assert (gateway.attempts["a"] > 1) is again
+    if not again:
+        assert gateway.answers["a"] == api.Fail("a")
+
+
+def test_keyed_repeat_only_while_the_group_remembers(make):
+    gateway = make(max_attempts=9)
+    gateway.ask("w", class_name="write", left_ms=9000.0)
+    gateway.end("w", Outcome.ERROR, closed=False)
+    assert gateway.attempts["w"] == 2
+    gateway.run(4001.0)
+    gateway.end("w", Outcome.SHED, closed=False)
+    gateway.run(100.0)
+    assert gateway.attempts["w"] == 2
+    assert gateway.answers["w"] == api.Fail("w")
+
+
+def test_nothing_new_goes_to_a_draining_node_and_its_successor_takes_what_is_held(gateway):
+    gateway.nodes(node("n0", 0, NodeState.DRAINING), kind=api.ListKind.CHANGES)
+    gateway.ask("a")
+    assert not gateway.sent("a")
+    gateway.nodes(node("n2", 0), kind=api.ListKind.CHANGES)
+    gateway.run(30.0)
+    assert [send.node for _, send in gateway.sends] == ["n2"]
+
+
+def test_a_full_list_removes_what_it_does_not_name(gateway):
+    gateway.nodes(node("n1", 1))
+    gateway.ask("a")
+    gateway.run(100.0)
+    assert not gateway.sent("a")
+
+
+def test_the_watch_is_asked_for_at_start_and_again_after_a_failure():
+    gateway = Gateway(must_ask=True)
+    gateway.give()
+    assert gateway.watches == 1
+    gateway.give(api.NodeList(api.ListKind.FAILED))
+    gateway.run(1100.0)
+    assert gateway.watches == 2
+
+
+@given(st.lists(st.tuples(st.integers(0, 60), st.sampled_from([1, 2, 3, 5, 8])), min_size=40, max_size=80))
+def test_a_cold_node_gets_no_more_than_this_gateways_part(steps):
+    gateway = Gateway()
+    start = gateway.now
+    gateway.nodes(node("n0", 0, started=start))
+    units: dict[str, float] = {}
+    for at, (gap, size) in enumerate(steps):
+        gateway.run(float(gap))
+        units[f"r{at}"] = size
+        gateway.ask(f"r{at}", units=float(size))
+        for name in [send.request for _, send in gateway.sends if send.request in units]:
+            if gateway.scheduler.requests.get(name) and gateway.scheduler.requests[name].out:
+                gateway.end(name, Outcome.SERVED)
+    window = SETTINGS.fall_window_ms
+    for at, _ in gateway.sends:
+        got = [units[s.request] for when, s in gateway.sends if at - window < when <= at]
+        climb = 1 + (1 / SETTINGS.cold_from - 1) * (at - start) / SETTINGS.warm_after_ms
+        part = SETTINGS.cold_units * climb / SETTINGS.gateways
+        # One request larger than the credit may overdraw it, by less than itself.
+        assert sum(got) <= part + SETTINGS.largest_units
+
+
+def test_a_cold_node_gets_no_burst_on_news_of_its_start(make):
+    gateway = make(nodes=[node("n0", 0, started=990.0)])
+    gateway.give(*[request(f"r{n}", units=1.0) for n in range(20)])
+    assert gateway.sends == []
+
+
+def test_order_by_key_with_its_rest(gateway):
+    gateway.ask("a", class_name="turns", key="x")
+    gateway.ask("b", class_name="turns", key="x")
+    gateway.ask("c", class_name="turns", key="y")
+    assert gateway.sent("c") and not gateway.sent("b")
+    gateway.give(api.ClientGone("a"))
+    assert not gateway.sent("b")
+    gateway.end("a", Outcome.CANCELLED, closed=True)
+    gateway.run(390.0)
+    assert not gateway.sent("b")
+    gateway.run(60.0)
+    assert gateway.sent("b")
+
+
+@given(st.lists(st.tuples(st.integers(0, 400), st.booleans()), min_size=20, max_size=80))
+def test_further_attempts_stay_within_the_budget(steps):
+    gateway = Gateway(max_attempts=4)
+    gateway.nodes()
+    taken: list[float] = []
+    extras: list[float] = []
+    for at, (gap, sheds) in enumerate(steps):
+        gateway.run(float(gap))
+        taken.append(gateway.now)
+        gateway.ask(f"r{at}")
+        for held in list(gateway.scheduler.requests.values()):
+            if held.out and not held.done:
+                gateway.end(held.request.id, Outcome.SHED if sheds else Outcome.SERVED)
+    seen: Counter[str] = Counter()
+    for when, send in gateway.sends:
+        seen[send.request] += 1
+        if seen[send.request] > 1:
+            extras.append(when)
+            inside = sum(when - 5000.0 < t <= when for t in extras)
+            most = SETTINGS.extra_free + SETTINGS.extra_share * sum(when - 5000.0 < t <= when for t in taken)
+            assert inside <= most
+
+
+@given(st.lists(st.tuples(st.integers(0, 300), st.integers(1, 8)), min_size=30, max_size=120))
+def test_a_volume_is_sent_no_more_than_this_gateways_part_of_its_limit(steps):
+    gateway = Gateway()
+    start = gateway.now
+    gateway.nodes()
+    sent: list[tuple[float, float]] = []
+    for at, (gap, size) in enumerate(steps):
+        gateway.run(float(gap))
+        gateway.ask(f"r{at}", plan="capped", units=float(size), gateways=2)
+        for held in list(gateway.scheduler.requests.values()):
+            if held.out:
+                sent.append((gateway.now, held.request.units))
+                gateway.end(held.request.id, Outcome.SERVED)
+    # The part fills at half the limit from an empty store, whatever an earlier life has spent.
+    for at, _ in sent:
+        assert sum(units for when, units in sent if when <= at) <= 5.0 * (at - start) / 1000 + 0.001
+
+
+EVENTS = st.one_of(
+    st.tuples(st.just("ask"), st.sampled_from(["read", "write", "once", "turns"]), st.integers(-1, 2)),
+    st.tuples(st.just("end"), st.sampled_from(list(Outcome)), st.integers(0, 40)),
+    st.tuples(st.just("gone"), st.integers(0, 60), st.just(0)),
+    st.tuples(st.just("wait"), st.integers(0, 900), st.just(0)),
+    st.tuples(st.just("list"), st.sampled_from(list(NodeState)), st.integers(0, 1)),
+    st.tuples(st.just("odd"), st.sampled_from(["end", "timer", "first", "failed"]), st.integers(0, 9)),
+)
+
+
+@settings(max_examples=60)
+@given(st.lists(EVENTS, max_size=120))
+def test_any_sequence_gives_each_request_one_answer_and_keeps_the_repeat_rule(steps):
+    gateway = Gateway()
+    gateway.nodes()
+    kinds: dict[str, str] = {}
+    gone: set[str] = set()
+    finished: set[str] = set()
+    ran: Counter[str] = Counter()
+    states = {0: NodeState.READY, 1: NodeState.READY}
+
+    def out() -> list[str]:
+        return [h.request.id for h in gateway.scheduler.requests.values() if h.out]
+
+    for kind, first, second in steps:
+        before = len(gateway.sends)
+        match kind:
+            case "ask":
+                name = f"r{len(kinds)}"
+                kinds[name] = first
+                gateway.ask(name, class_name=first, shard=second, volume=f"v{second}")
+            case "end" if out():
+                name = out()[second % len(out())]
+                closed = first is Outcome.SERVED or name in gone
+                if not first.never_ran:
+                    ran[name] += 1
+                if closed:
+                    finished.add(name)
+                gateway.end(name, first, closed=closed)
+            case "gone" if f"r{first}" in kinds and f"r{first}" not in finished:
+                if f"r{first}" not in gateway.answers:
+                    gone.add(f"r{first}")
+                gateway.give(api.ClientGone(f"r{first}"))
+            case "wait":
+                gateway.run(float(first))
+            case "list":
+                states[second] = first
+                gateway.nodes(node(f"n{second}", second, first), kind=api.ListKind.CHANGES)
+            case "odd":
+                gateway.give(
+                    {
+                        "end": api.AttemptEnded(f"r{second}", 7, "n0", Outcome.SERVED, 1.0, True),
+                        "timer": api.TimerFired(10_000 + second),
+                        "first": api.StreamStarted("unheard of", 0),
+                        "failed": api.NodeList(api.ListKind.FAILED),
+                    }[first]
+                )
+        for _, send in gateway.sends[before:]:
+            assert states[int(send.node[1])] is NodeState.READY
+            assert send.request not in finished | gone
+            assert kinds[send.request] != "once" or not ran[send.request]
+    while out():
+        name = out()[0]
+        finished |= {name} & gone
+        gateway.end(name, Outcome.TIMED_OUT, closed=name in gone)
+    gateway.run(4000.0)
+    while out():
+        gateway.end(out()[0], Outcome.TIMED_OUT, closed=False)
+    for name, answer in gateway.answers.items():
+        if isinstance(answer, api.Refuse):
+            assert kinds[name] in ("read", "turns") or not ran[name]
+    assert set(kinds) == finished | gone | set(gateway.answers)
--- /dev/null
+++ b/winchdyke/benchlink.py
@@ -0,0 +1,296 @@
+"""The bench's wire to the module's interface and back: ``python -m winchdyke.benchlink``.
+
+Hosts any number of instances, each with a scheduler of its own; nothing is shared between them and nothing
+is decided here. Malformed input ends the program with one plain line on standard error.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any, TextIO
+
+from winchdyke import interface as api
+from winchdyke.policy import Scheduler
+
+EFFECTS = {
+    "idempotent": api.Effect.IDEMPOTENT,
+    "deduplicated": api.Effect.KEYED,
+    "at_most_once": api.Effect.AT_MOST_ONCE,
+}
+SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
+STATES = {"0": api.NodeState.GONE, "1": api.NodeState.READY, "2": api.NodeState.DRAINING}
+KINDS = {
+    "0": api.ListKind.FAILED,
+    "1": api.ListKind.CHANGES,
+    "2": api.ListKind.CACHED,
+    "3": api.ListKind.FULL,
+}
+OUTCOMES = {
+    "delivered": api.Outcome.SERVED,
+    "app_error": api.Outcome.ERROR,
+    "shed": api.Outcome.SHED,
+    "expired": api.Outcome.TIMED_OUT,
+    "dial_failed": api.Outcome.DIAL_FAILED,
+    "dropped": api.Outcome.RESET,
+    "revoked": api.Outcome.CANCELLED,
+    "unused": api.Outcome.UNSENT,
+}
+REPEAT_BIT = 2
+
+
+class WireError(Exception):
+    """Input that the wire's description does not allow."""
+
+
+def number(text: str) -> float:
+    """A number of the wire, where an absent one is 0."""
+    return 0.0 if text == "-" else float(text)
+
+
+def word(table: dict[str, Any], text: str) -> Any:
+    """The meaning of one of the wire's fixed words."""
+    if text not in table:
+        raise WireError(f"unknown value {text!r}")
+    return table[text]
+
+
+def report(text: str) -> tuple[float, ...]:
+    """A load report's values, in the order that the settings name."""
+    return () if text == "-" else tuple(number(part) for part in text.split(","))
+
+
+def settings_of(text: str) -> api.Settings:
+    """The settings of a start message; keys that are not known here are passed over."""
+    info = json.loads(text)
+    domain, rules, allow = info.get("domain", {}), info.get("guarantees", {}), info.get("policy_limits", {})
+    goal, writes = info.get("goal", {}), info.get("domain", {}).get("changes_data", [])
+    classes = tuple(
+        api.RequestClass(
+            name=c["name"],
+            worth=c["worth"],
+            aim_ms=c["promise_ms"],
+            deadline_ms=c["deadline_ms"],
+            late_share=c.get("late_share", 0.0),
+            effect=word(EFFECTS, c["effect"]),
+            scope=word(SCOPES, c.get("dedup_scope", "all")),
+            memory_ms=c.get("memory_span_ms", 0.0),
+            streamed=c.get("streamed", False),
+            in_order=c.get("in_order", False),
+            writes=at < len(writes) and bool(writes[at]),
+        )
+        for at, c in enumerate(info["classes"])
+    )
+    plans = tuple(
+        api.Plan(
+            name=p["name"],
+            worth_factor=p.get("worth_factor", 1.0),
+            weight=p.get("proportion", 1.0),
+            usual_rate=p.get("usual_rate", 0.0),
+            reserve=p.get("reservation", 0.0),
+            limit=p.get("never_over", 0.0),
+            limit_burst=p.get("limit_burst", 0.0),
+        )
+        for p in info.get("grades", [])
+    )
+    return api.Settings(
+        gateways=info["balancers"],
+        index=info["index"],
+        classes=classes,
+        plans=plans,
+        zone=info.get("zone", ""),
+        tick_ms=info.get("tick_ms", 1.0),
+        mean_units=domain.get("mean_units", 1.0),
+        largest_units=domain.get("units_top", 1.0),
+        fair_worth=domain.get("fair_worth", 1.0),
+        idle_worth=domain.get("idle_worth", 1.0),
+        meter_ms=domain.get("metering_ms", 0.0),
+        goal_whole=goal.get("whole", 1.0),
+        goal_worst_class=goal.get("worst_class", 0.0),
+        goal_worst_plan=goal.get("worst_tenant", 0.0),
+        must_ask=info.get("discovery") == "on_request",
+        max_attempts=allow.get("max_attempts", 1),
+        may_cancel=allow.get("cancel", False),
+        may_probe=allow.get("may_probe", False),
+        may_tell=allow.get("may_tell", False),
+        second_copies=allow.get("second_copies", False),
+        max_retry_after_ms=allow.get("max_retry_after_ms", 0.0) if allow.get("retry_after") else 0.0,
+        connect_timeout_ms=allow.get("connect_timeout_ms", 0.0),
+        cold_from=rules.get("cold_from", 1.0),
+        warm_after_ms=rules.get("warm_after_ms", 0.0),
+        fall_multiple=rules.get("fall_multiple", 0.0),
+        fall_window_ms=rules.get("tip_after_ms", 0.0),
+        cold_units=domain.get("young_limit", 0.0),
+        settle_ms=rules.get("order_settle_ms", 0.0),
+        extra_window_ms=rules.get("extra_window_ms", 0.0),
+        extra_free=rules.get("extra_free", 0.0),
+        extra_share=rules.get("further_ratio", 0.0),
+    )
+
+
+def node(row: list[str]) -> api.Node:
+    """An entry of the node list."""
+    if row[0] != "M":
+        raise WireError(f"expected a list entry, got {row[0]!r}")
+    return api.Node(
+        name=row[4],
+        state=word(STATES, row[6]),
+        shard=int(number(row[7])),
+        zone=row[2],
+        started_ms=number(row[3]),
+    )
+
+
+def demand(row: list[str]) -> api.Request:
+    """A client's request."""
+    return api.Request(
+        id=row[2],
+        class_name=row[3],
+        plan=row[4],
+        key="" if row[5] == "-" else row[5],
+        left_ms=number(row[6]),
+        volume=row[7],
+        units=number(row[8]),
+        shard=int(number(row[9])),
+        gateways=int(number(row[10])),
+        repeat=bool(int(number(row[11])) & REPEAT_BIT),
+    )
+
+
+def ended(row: list[str]) -> api.AttemptEnded:
+    """The end of an attempt."""
+    used = number(row[8])
+    return api.AttemptEnded(
+        request=row[2],
+        attempt=int(row[3]),
+        node=row[4],
+        outcome=word(OUTCOMES, row[5]),
+        latency_ms=number(row[6]),
+        closed=row[7] == "1",
+        used_percent=used - 1 if used else None,
+        from_others=number(row[9]),
+        load=report(row[10]),
+    )
+
+
+def peer(row: list[str]) -> api.PeerMessage:
+    """A message of another gateway; what is not base64 is passed on as empty."""
+    import base64
+    import binascii
+
+    try:
+        data = b"" if row[3] == "-" else base64.b64decode(row[3], validate=True)
+    except binascii.Error:
+        data = b""
+    return api.PeerMessage(sender=int(row[2]), data=data)
+
+
+READERS: dict[str, Callable[[list[str]], api.Event]] = {
+    "DEMAND": demand,
+    "FLOWING": lambda row: api.StreamStarted(request=row[2], attempt=int(row[3])),
+    "CLOSED_ATTEMPT": ended,
+    "VANISHED": lambda row: api.ClientGone(request=row[2]),
+    "TIMEOUT_FIRED": lambda row: api.TimerFired(tag=int(row[2])),
+    "PONG": lambda row: api.ProbeEnded(row[2], word(OUTCOMES, row[3]), number(row[4]), report(row[5])),
+    "PEER": peer,
+}
+
+
+def written(who: str, action: api.Action) -> str:
+    """An action as a line of the wire."""
+    match action:
+        case api.Send(request, name, timeout):
+            parts = ["ISSUE", who, request, name, f"{timeout:.3f}"]
+        case api.Refuse(request, after):
+            parts = ["REFUSE", who, request, f"{after:.3f}"]
+        case api.Fail(request):
+            parts = ["DROP_REQUEST", who, request]
+        case api.SetTimer(tag, after):
+            parts = ["DEFER", who, str(tag), f"{after:.3f}"]
+        case api.Probe(name):
+            parts = ["CHECK", who, name]
+        case api.WatchList():
+            parts = ["TAIL", who, "1"]
+        case api.Log(text):
+            parts = ["LOG", who, " ".join(text.split())]
+    return "\t".join(parts)
+
+
+class Link:
+    """The instances of one process, and the batch that is being read."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.schedulers: dict[str, Scheduler] = {}
+        self.events: dict[str, list[api.Event]] = {}
+
+    def read(self, row: list[str], more: Iterator[str]) -> None:
+        """Take in one message; a node list reads its entries from ``more``."""
+        kind, who = row[0], row[1]
+        if kind == "POWER_ON":
+            self.schedulers[who] = Scheduler(settings_of("\t".join(row[3:])), seed=int(row[2]), now=self.now)
+            self.events[who] = []
+        elif kind == "KILLED":
+            self.schedulers.pop(who, None)
+            self.events.pop(who, None)
+        elif who not in self.schedulers:
+            raise WireError(f"instance {who!r} is not running")
+        elif kind == "MEMBERS":
+            nodes = tuple(node(next(more, "").rstrip("\r\n").split("\t")) for _ in range(int(number(row[4]))))
+            self.events.setdefault(who, []).append(api.NodeList(word(KINDS, row[2]), nodes))
+        elif kind in READERS:
+            self.events.setdefault(who, []).append(READERS[kind](row))
+        else:
+            raise WireError("unknown message")
+
+    def answer(self) -> list[str]:
+        """Let each instance that had events decide; the lines of the reply."""
+        lines = []
+        for who, events in self.events.items():
+            lines += [written(who, action) for action in self.schedulers[who].handle(self.now, events)]
+        self.events = {}
+        return lines
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    """Answer batches until the input ends."""
+    link, count = Link(), 0
+
+    def counted() -> Iterator[str]:
+        nonlocal count
+        for text in source:
+            count += 1
+            yield text
+
+    lines = counted()
+    for text in lines:
+        row = text.rstrip("\r\n").split("\t")
+        try:
+            if row[0] == "CLOCK":
+                link.now = float(row[1])
+            elif row[0] == "FLUSH":
+                sink.write("\n".join([*link.answer(), "NEXT\n"]))
+                sink.flush()
+            elif row != [""]:
+                link.read(row, lines)
+        except (WireError, ValueError, TypeError, AttributeError) as error:
+            raise WireError(f"line {count}: {row[0] or 'empty message'}: {error}") from error
+        except IndexError as error:
+            raise WireError(f"line {count}: {row[0]}: a field is missing") from error
+        except KeyError as error:
+            raise WireError(f"line {count}: {row[0]}: {error} is missing or unknown") from error
+
+
+def main() -> int:
+    """Serve standard input and output; 1 where the input was malformed."""
+    try:
+        serve(sys.stdin, sys.stdout)
+    except WireError as error:
+        print(f"benchlink: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/winchdyke/policy.py
@@ -0,0 +1,498 @@
+"""Every decision of the scheduler; its types, events and actions are in ``winchdyke/interface.py``.
+
+A request is held at its shard until the shard's node has room: a Gradient2 window for each node, class shares
+of it, and CoDel on what is held. The most valuable request goes first. ``docs/design.md`` tells why.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+from winchdyke import interface as api
+from winchdyke.interface import Effect, Outcome, Scope
+
+# Gradient2: the window of requests out at one node.
+START, FLOOR, CEILING = (
+    4.0,
+    1.0,
+    16.0,
+)  # several to begin with; one keeps the latency heard; half the design's top
+INTERVAL_MS, MIN_SAMPLES = (
+    500.0,
+    3,
+)  # between two steps: some ten service times; fewer answers say nothing yet
+SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
+TOLERANCE = 1.25  # a rise of the short average that still counts as noise
+CLAMP, SMOOTHING = 0.5, 0.5  # no more than a halving is sought in one step, and half of it done at once
+NODE_PART = 0.25  # of the tightest aim, for an average request: the most latency that may count as normal
+
+TARGET, CODEL_INTERVAL = 0.75, 1.0  # CoDel, in aims: past the target there is hardly time left to be served
+
+COST_GAIN, COST_QUANTILE = 0.01, 0.1  # a low quantile of the latency for each unit is near the work itself
+SURE = 2.0  # time left, in expected latencies, from which on the aim counts as made
+
+SILENT_AIMS = 2.0  # silence past this many of the shortest aims, with work out, makes a node suspect
+TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
+COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
+SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
+WATCH_RETRY_MS = (
+    500.0  # after a failed list call, up to doubled at random; far under the time that a rule allows
+)
+
+RATE_MS = 1500.0  # half-life of rates: the second that plans count in, and a meter's delay
+
+
+class Window:
+    """Gradient2: how many requests may be out at a node, learnt from the latency of served attempts."""
+
+    def __init__(self, now: float) -> None:
+        self.size, self.peak, self.due, self.samples = START, 0, now + INTERVAL_MS, 0
+        self.latency = self.expected = self.long = 0.0
+        self.short = 1.0  # latency over expected work, so that big requests do not read as overload
+
+    def sample(self, latency: float, expected: float) -> None:
+        """Take in an answer; a time-out counts with its age, which is the least that it would have been."""
+        gain = SHORT_GAIN if self.expected else 1.0
+        self.latency += gain * (max(latency, 1e-6) - self.latency)
+        self.expected += gain * (expected - self.expected)
+        self.short = self.latency / self.expected
+        self.long += (LONG_GAIN if self.long else 1.0) * (self.short - self.long)
+        self.samples += 1
+
+    def step(self, now: float, normal: float) -> None:
+        """Move the window once an interval, where there was enough to judge by."""
+        if now < self.due or self.samples < MIN_SAMPLES:
+            return
+        # Guards against congestion learnt as normal, from whatever cause. It hurts where a node is slow for
+        # good: its window stays at the floor, though nothing stands behind its latency.
+        self.long = min(self.long, normal)
+        gradient = min(1.0, max(CLAMP, TOLERANCE * self.long / self.short))
+        # The root step fades with the gradient: at a window of 4 it would otherwise outweigh the deepest cut.
+        step = self.size**0.5 * (gradient - CLAMP) / (1 - CLAMP) if 2 * self.peak >= self.size else 0.0
+        self.size += SMOOTHING * (self.size * gradient + step - self.size)
+        self.size = min(CEILING, max(FLOOR, self.size))
+        self.due, self.samples, self.peak = now + INTERVAL_MS, 0, 0
+
+
+class CoDel:
+    """RFC 8289 for one class at one shard: stale requests go, ever faster while the queue stands."""
+
+    def __init__(self, aim: float) -> None:
+        self.target, self.interval = TARGET * aim, CODEL_INTERVAL * aim
+        self.next, self.count = -1.0, 0
+
+    def drops(self, now: float, sojourn: float) -> bool:
+        """Whether the request at the head, held for ``sojourn``, is to be refused."""
+        if sojourn < self.target:
+            self.next, self.count = -1.0, 0
+        elif self.next < 0:
+            self.next = now + self.interval
+        elif now >= self.next:
+            self.count += 1
+            self.next += self.interval / self.count**0.5
+            return True
+        return False
+
+
+class Budget:
+    """The attempts beyond a request's first that one gateway may make in any window."""
+
+    def __init__(self, cfg: api.Settings) -> None:
+        self.cfg, self.taken, self.extra = cfg, deque[float](), deque[float]()
+
+    def allows(self, now: float) -> bool:
+        """Whether one more fits now; extras are kept a tick longer than requests, to be safe at the edge."""
+        cfg, since = self.cfg, now - self.cfg.extra_window_ms
+        for times, first in ((self.taken, since), (self.extra, since - cfg.tick_ms)):
+            while times and times[0] <= first:
+                times.popleft()
+        most = cfg.extra_free + cfg.extra_share * len(self.taken)
+        return not cfg.extra_window_ms or len(self.extra) + 1 <= most
+
+
+class Volume:
+    """A volume's account: its reserve, its use here and elsewhere, and this gateway's part of its limit."""
+
+    def __init__(self, cfg: api.Settings, plan: api.Plan, now: float) -> None:
+        self.cfg, self.plan, self.at, self.gateways = cfg, plan, now, 1
+        self.own = self.metered = self.total = 0.0  # units a second: sent now, when the meter ran, everywhere
+        self.told = -1e18
+        # Both stores begin empty: a gateway that was killed cannot know what it or others just spent.
+        self.reserve = self.limit = 0.0
+
+    @property
+    def part(self) -> float:
+        """This gateway's part of the volume's use, as far as it is told; an even part where it is not."""
+        even = 1.0 / self.gateways
+        if self.gateways == 1 or self.at - self.told > 2 * RATE_MS:
+            return even
+        return min(1.0, max(even / 2, (self.metered + even) / (max(self.total, self.metered) + 1.0)))
+
+    def refill(self, now: float) -> None:
+        """Bring the account up to now."""
+        seconds, plan, part = (now - self.at) / 1000, self.plan, self.part
+        self.own *= 0.5 ** ((now - self.at) / RATE_MS)
+        self.at = now
+        most = (plan.reserve + self.cfg.largest_units) * part
+        self.reserve = min(most, self.reserve + plan.reserve * part * seconds)
+        self.limit = min(plan.limit_burst / self.gateways, self.limit + plan.limit / self.gateways * seconds)
+
+
+class Held:
+    """A request that this gateway has taken, until it is finished and its attempts have ended."""
+
+    def __init__(self, request: api.Request, kind: api.RequestClass, volume: Volume, now: float) -> None:
+        self.request, self.kind, self.volume, self.at = request, kind, volume, now
+        self.shard, self.aim, self.end = request.shard, now + kind.aim_ms, now
+        self.sent: list[tuple[NodeView, float]] = []
+        self.out = self.moot = 0
+        self.maybe: tuple[NodeView, float] | None = None  # the first attempt that may have run
+        self.done = self.streaming = False
+
+    def may_go_to(self, node: NodeView, now: float) -> bool:
+        """The repeat rule: never two out, and only where a repeat does no harm."""
+        if self.out or self.maybe is None or self.kind.effect is Effect.IDEMPOTENT:
+            return not self.out
+        first, sent = self.maybe
+        group = {Scope.ALL: True, Scope.ZONE: first.zone == node.zone, Scope.CELL: first.shard == node.shard}
+        return (
+            self.kind.effect is Effect.KEYED and group[self.kind.scope] and now < sent + self.kind.memory_ms
+        )
+
+    @property
+    def refusable(self) -> bool:
+        """Whether the client may be told that another try is harmless."""
+        if (self.maybe is None and not self.out) or self.kind.effect is Effect.IDEMPOTENT:
+            return True
+        return self.kind.effect is Effect.KEYED and self.kind.scope is Scope.ALL
+
+
+class NodeView:
+    """What this gateway knows of a node: the list's word, its window, its health and its warm-up."""
+
+    def __init__(self, entry: api.Node, now: float) -> None:
+        self.name, self.shard, self.zone, self.ready = entry.name, entry.shard, entry.zone, False
+        self.window, self.heard, self.born = Window(now), now, -1e18
+        self.out: dict[tuple[str, int], tuple[float, str]] = {}
+        self.lost: float | None = None  # since when it has been suspect
+        self.restarted = False  # a failed connection or a reset was seen since
+        self.trial = self.gap = self.credit = 0.0
+        self.credit_at = self.used_at = now
+        self.used: dict[str, float] = {}  # units beyond the reserve by volume, over its weight, fading
+
+    def start(self, born: float, now: float) -> None:
+        """Be cold; what others sent a moment ago is not known, so nothing is saved up."""
+        self.born, self.credit, self.credit_at, self.lost = born, 0.0, now, None
+
+    def cold_part(self, cfg: api.Settings, now: float) -> float | None:
+        """This gateway's part of the units a cold node bears in one of the rule's windows; None once warm."""
+        age = max(0.0, now - self.born)
+        if not cfg.fall_window_ms or age >= cfg.warm_after_ms:
+            return None
+        return cfg.cold_units / cfg.gateways * (1 + (1 / cfg.cold_from - 1) * age / cfg.warm_after_ms)
+
+    def bears(self, cfg: api.Settings, now: float, units: float) -> bool:
+        """Whether a cold node may be sent so much more; a request above the part waits for a full credit."""
+        part = self.cold_part(cfg, now)
+        if part is None:
+            return True
+        grown = part * (1 - COLD_BURST) * (now - self.credit_at) / cfg.fall_window_ms
+        self.credit, self.credit_at = min(part * COLD_BURST, self.credit + grown), now
+        return self.credit >= min(units, part * COLD_BURST)
+
+    def room(self, now: float, kind: api.RequestClass, shares: dict[str, float]) -> bool:
+        """Room in the window; a full one still takes a class that is under its firm share of it."""
+        if self.lost is not None:
+            return now >= self.trial
+        if len(self.out) < int(self.window.size):
+            return True
+        mine = sum(name == kind.name for _, name in self.out.values())
+        return mine < int(self.window.size * shares[kind.name]) and len(self.out) < CEILING
+
+
+class Scheduler:
+    """One gateway's decisions: hand it each batch of events with the time, and carry out what it returns."""
+
+    def __init__(self, cfg: api.Settings, seed: int, now: float) -> None:
+        self.cfg, self.now, self.random = cfg, now, random.Random(seed)
+        self.kinds, self.plans = {k.name: k for k in cfg.classes}, {p.name: p for p in cfg.plans}
+        worth = sum(k.worth for k in cfg.classes) or 1.0
+        self.shares = {k.name: k.worth / worth for k in cfg.classes}
+        self.silence = SILENT_AIMS * min((k.aim_ms for k in cfg.classes), default=0.0)
+        self.longest = max((k.deadline_ms for k in cfg.classes), default=0.0)
+        self.full_try = dict.fromkeys(self.kinds, 0.0)  # the longest time any try of the class had left
+        # ms of work for each unit, by class; until it is learnt, a part of the class's aim
+        self.cost = {k.name: NODE_PART / 2 * k.aim_ms / cfg.mean_units for k in cfg.classes}
+        self.nodes: dict[str, NodeView] = {}
+        self.volumes: dict[str, Volume] = {}
+        self.requests: dict[str, Held] = {}
+        self.queues: dict[int, dict[str, Held]] = {}
+        self.dirty: set[int] = set()  # shards at which something has changed in this batch
+        self.codels: dict[tuple[int, str], CoDel] = {}
+        self.turns: dict[str, deque[Held]] = {}
+        self.rest: dict[str, float] = {}
+        self.budget = Budget(cfg)
+        self.tags: dict[int, str] = {}
+        self.tag, self.watching, self.watch_at = 0, not cfg.must_ask, now
+        self.actions: list[api.Action] = []
+
+    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        """Take in all events of one moment, then decide."""
+        self.now, self.actions, sweep = now, [], not self.tag
+        self.tag += sweep
+        for event in events:
+            if isinstance(event, api.Request):
+                self.take(event)
+            elif isinstance(event, api.AttemptEnded):
+                self.ended(event)
+            elif isinstance(event, api.NodeList):
+                self.listed(event)
+            elif isinstance(event, api.TimerFired):
+                sweep = sweep or not event.tag
+                held = self.requests.get(self.tags.pop(event.tag, ""))
+                if held and not held.done and not held.out and not held.streaming:
+                    self.close(held)
+            elif isinstance(event, api.ClientGone | api.StreamStarted) and event.request in self.requests:
+                self.requests[event.request].streaming = True  # its client has it, or wants it no more
+                if isinstance(event, api.ClientGone):
+                    self.finish(self.requests[event.request])
+        if sweep:
+            self.sweep()
+        for shard in sorted(self.queues if sweep else self.dirty):
+            self.dispatch(shard)
+        self.dirty.clear()
+        return self.actions
+
+    def listed(self, news: api.NodeList) -> None:
+        """Bring the nodes up to the list."""
+        if news.kind is api.ListKind.FAILED:
+            self.watching, self.watch_at = False, self.now + WATCH_RETRY_MS * (1 + self.random.random())
+            self.actions.append(api.Log("the node list could not be read; asking again"))
+            return
+        self.watching = self.watching or news.kind is not api.ListKind.CACHED
+        if news.kind is not api.ListKind.CHANGES:
+            for view in self.nodes.values():
+                view.ready = False
+        for entry in news.nodes:
+            view = self.nodes.setdefault(entry.name, NodeView(entry, self.now))
+            view.ready, view.shard = entry.state is api.NodeState.READY, entry.shard
+            if entry.started_ms and entry.started_ms > view.born:
+                view.start(entry.started_ms, self.now)
+                view.window = Window(self.now)
+
+    def node_of(self, shard: int) -> NodeView | None:
+        """The node that serves a shard now; of several, the one that came up last."""
+        ready = [n for n in self.nodes.values() if n.ready and n.shard == shard]
+        return max(ready, key=lambda n: (n.lost is None, n.born), default=None)
+
+    def take(self, request: api.Request) -> None:
+        """Take a client's request and put it where its data lies."""
+        kind, now = self.kinds[request.class_name], self.now
+        plan = self.plans.get(request.plan) or api.Plan(request.plan, 1.0, 1.0, 0.0, 0.0)
+        volume = self.volumes.setdefault(request.volume, Volume(self.cfg, plan, now))
+        volume.gateways = max(volume.gateways, request.gateways)
+        volume.refill(now)
+        held = self.requests[request.id] = Held(request, kind, volume, now)
+        left = max(0.0, request.left_ms - 2 * self.cfg.tick_ms)  # a little early: the answer is owed by then
+        held.end = now + left
+        # A client's second try counts from its first: what its time left lacks of a full try is gone already.
+        self.full_try[kind.name] = max(self.full_try[kind.name], request.left_ms)
+        held.aim -= self.full_try[kind.name] - request.left_ms
+        self.budget.taken.append(now)
+        self.tag += 1
+        self.tags[self.tag] = request.id
+        self.actions.append(api.SetTimer(self.tag, left))
+        if kind.in_order and request.key:
+            self.turns.setdefault(request.key, deque()).append(held)
+        self.place(held)
+
+    def place(self, held: Held) -> None:
+        """Queue a request at its shard; a new object where it is expected to be served soonest."""
+        if held.request.shard < 0:
+            shards = sorted({n.shard for n in self.nodes.values() if n.ready})
+            held.shard = min(shards, key=self.wait_at, default=-1)
+        self.queues.setdefault(held.shard, {})[held.request.id] = held
+        self.dirty.add(held.shard)
+
+    def wait_at(self, shard: int) -> float:
+        """How long a new object would wait at a shard, in ordinary latencies; a cold one won't do."""
+        node = self.node_of(shard)
+        if node is None or node.lost is not None or node.cold_part(self.cfg, self.now) is not None:
+            return self.longest
+        return (1 + (len(self.queues.get(shard, ())) + len(node.out)) / node.window.size) * node.window.short
+
+    def finish(self, held: Held) -> None:
+        """Let go of a request that has its final answer, and of its turn once its attempts have ended."""
+        held.done = True
+        self.queues.get(held.shard, {}).pop(held.request.id, None)
+        if held.out:
+            return
+        self.requests.pop(held.request.id, None)
+        turns = self.turns.get(held.request.key) if held.kind.in_order else None
+        if turns and held in turns:
+            turns.remove(held)
+            self.dirty |= {other.shard for other in turns}
+            if not turns:
+                del self.turns[held.request.key]
+
+    def close(self, held: Held, retry_after: float = 0.0) -> None:
+        """Give the final answer: a refusal where another try is harmless, else a failure."""
+        answer = api.Refuse(held.request.id, retry_after) if held.refusable else api.Fail(held.request.id)
+        self.actions.append(answer)
+        self.finish(held)
+
+    def ended(self, event: api.AttemptEnded) -> None:
+        """Learn from the end of an attempt, and give its request back, or its final answer."""
+        node, held, outcome = self.nodes.get(event.node), self.requests.get(event.request), event.outcome
+        if node is None or held is None or node.out.pop((event.request, event.attempt), None) is None:
+            return
+        held.out -= 1
+        held.moot += outcome is Outcome.UNSENT
+        self.dirty.add(node.shard)
+        self.learn(node, held, event)
+        if not outcome.never_ran and held.maybe is None:
+            held.maybe = held.sent[event.attempt]
+        if held.kind.in_order and outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED):
+            self.rest[held.request.key] = self.now + self.cfg.settle_ms
+        over = self.now >= held.end or len(held.sent) >= self.cfg.max_attempts
+        if held.done or event.closed:
+            self.finish(held)
+        elif over or outcome is Outcome.TIMED_OUT or not held.may_go_to(node, self.now):
+            self.close(held)
+        else:
+            self.place(held)
+
+    def learn(self, node: NodeView, held: Held, event: api.AttemptEnded) -> None:
+        """What an outcome tells of its node and its volume."""
+        kind, outcome, units = held.kind, event.outcome, held.request.units
+        if outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.SHED):
+            node.heard = self.now
+            if node.lost is not None:
+                self.recovered(node)
+        if outcome is Outcome.SERVED:
+            node.window.sample(event.latency_ms, self.cost[kind.name] * units)
+            lower = event.latency_ms / units < self.cost[kind.name]
+            self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
+        elif outcome is Outcome.SHED:
+            node.window.size = max(FLOOR, node.window.size * CLAMP)
+        elif outcome is Outcome.TIMED_OUT and node.heard >= held.sent[event.attempt][1]:
+            node.window.sample(event.latency_ms, self.cost[kind.name] * units)
+        elif outcome in (Outcome.TIMED_OUT, Outcome.DIAL_FAILED, Outcome.RESET):
+            node.restarted = node.restarted or outcome is not Outcome.TIMED_OUT
+            self.suspect(node)
+        if event.used_percent is not None:
+            volume = held.volume
+            volume.total, volume.told = volume.plan.usual_rate * event.used_percent / 100, self.now
+            volume.metered += 0.5 * (volume.own - volume.metered)
+
+    def suspect(self, node: NodeView) -> None:
+        """Go over to single trials at a node, further and further apart; say so once."""
+        node.gap = TRIAL_MS if node.lost is None else min(TRIAL_MAX_MS, 2 * node.gap)
+        if node.lost is None:
+            self.actions.append(api.Log(f"{node.name} is suspect: single trials only"))
+            node.lost = self.now
+        node.trial = self.now + node.gap
+
+    def recovered(self, node: NodeView) -> None:
+        """An answer ends suspicion at once; a node that was away is cold."""
+        # A restart is told by failed connections, or by a silence that outlasts all deadlines: no pause does.
+        # It covers what the list tells late. It hurts where a partition healed: the node was warm all along.
+        if node.restarted or self.now - (node.lost or self.now) > self.longest:
+            node.start(self.now, self.now)
+        node.lost, node.restarted, node.window.size = None, False, min(node.window.size, START)
+        self.actions.append(api.Log(f"{node.name} answers again"))
+
+    def sweep(self) -> None:
+        """Look at what only time changes: silence, windows, stale requests, the watch."""
+        cfg, now = self.cfg, self.now
+        self.actions.append(api.SetTimer(0, SWEEP_MS))
+        self.rest = {key: until for key, until in self.rest.items() if until > now}
+        if not self.watching and now >= self.watch_at:
+            self.actions.append(api.WatchList())
+            self.watch_at = now + 4 * WATCH_RETRY_MS
+        calm = [NODE_PART * k.aim_ms / self.cost[k.name] / cfg.mean_units for k in cfg.classes]
+        for node in self.nodes.values():
+            node.window.step(now, min(calm))
+            oldest = min((sent for sent, _ in node.out.values()), default=now)
+            if node.lost is None and now - max(node.heard, oldest) > self.silence:
+                self.suspect(node)
+        for shard, queue in self.queues.items():
+            for name, head in {held.kind.name: held for held in reversed(queue.values())}.items():
+                codel = self.codels.setdefault((shard, name), CoDel(head.kind.aim_ms))
+                if codel.drops(now, now - head.at) and head.refusable:
+                    self.close(head, cfg.max_retry_after_ms)
+
+    def tier(self, held: Held, node: NodeView) -> float:
+        """The part of its full worth that a request's units would earn: reserve, share, or beyond both."""
+        cfg = self.cfg
+        if held.volume.plan.reserve and held.volume.reserve > 0:
+            return 1.0
+        if len(node.used) < 2:
+            return cfg.fair_worth
+        over = node.used.get(held.request.volume, 0.0) * len(node.used) / sum(node.used.values())
+        return cfg.idle_worth + (cfg.fair_worth - cfg.idle_worth) / max(1.0, over) ** 2
+
+    def value(self, held: Held, node: NodeView) -> float:
+        """Worth still to be earned for each unit of node time."""
+        kind, plan, cost = held.kind, held.volume.plan, self.cost[held.kind.name]
+        need = SURE * cost * held.request.units * max(1.0, node.window.short)
+        chance = min(1.0, max(0.0, held.aim - self.now) / need)
+        part = kind.late_share * self.cfg.idle_worth + chance * self.tier(held, node)
+        return kind.worth * plan.worth_factor * part / cost
+
+    def eligible(self, held: Held, node: NodeView) -> bool:
+        """Whether the rules let a held request go to a node now."""
+        now, key = self.now, held.request.key
+        first = held.kind.in_order and key and not held.sent
+        if first and (self.turns[key][0] is not held or now < self.rest.get(key, now)):
+            return False
+        if now >= held.end or not held.may_go_to(node, now):
+            return False
+        if len(held.sent) > held.moot:
+            return self.budget.allows(now)
+        return not held.volume.plan.limit or held.volume.limit >= held.request.units
+
+    def dispatch(self, shard: int) -> None:
+        """Send the most valuable held requests of a shard while its node has room."""
+        queue, node, now = self.queues.get(shard), self.node_of(shard), self.now
+        if not queue:
+            return
+        if node is None or node.lost is not None:
+            for held in [h for h in queue.values() if h.request.shard < 0]:
+                del queue[held.request.id]
+                self.place(held)
+        if node is None or not any(node.room(now, kind, self.shares) for kind in self.cfg.classes):
+            return
+        keep, node.used_at = 0.5 ** ((now - node.used_at) / RATE_MS), now
+        node.used = {name: use * keep for name, use in node.used.items() if use * keep > 0.05}
+        for volume in {h.request.volume: h.volume for h in queue.values()}.values():
+            volume.refill(now)
+        able = [h for h in queue.values() if self.eligible(h, node)]
+        for held in sorted(able, key=lambda h: (-self.value(h, node), h.aim)):
+            if node.room(now, held.kind, self.shares) and self.eligible(held, node):
+                if not node.bears(self.cfg, now, held.request.units):
+                    return
+                self.send(held, node)
+
+    def send(self, held: Held, node: NodeView) -> None:
+        """Start an attempt, and book it everywhere."""
+        now, request, volume = self.now, held.request, held.volume
+        del self.queues[held.shard][request.id]
+        if len(held.sent) > held.moot:
+            self.budget.extra.append(now)
+        else:
+            if volume.reserve <= 0:
+                use = request.units / volume.plan.weight / volume.part
+                node.used[request.volume] = node.used.get(request.volume, 0.0) + use
+            volume.reserve = max(volume.reserve - request.units, -request.units)
+            volume.limit -= request.units
+            volume.own += request.units * 0.693 * 1000 / RATE_MS
+        node.credit -= request.units
+        node.out[(request.id, len(held.sent))] = (now, held.kind.name)
+        node.window.peak = max(node.window.peak, len(node.out))
+        held.sent.append((node, now))
+        held.out += 1
+        if node.lost is not None:
+            self.suspect(node)
+        self.actions.append(api.Send(request.id, node.name))
