--- a/winchdyke/benchlink.py
+++ b/winchdyke/benchlink.py
@@ -208,8 +208,8 @@
             parts = ["DROP_REQUEST", who, request]
         case api.SetTimer(tag, after):
             parts = ["DEFER", who, str(tag), f"{after:.3f}"]
-        case api.Probe(name):
-            parts = ["CHECK", who, name]
+        case api.Cancel(request, attempt):
+            parts = ["UNDO_SEND", who, request, str(attempt)]
         case api.WatchList():
             parts = ["TAIL", who, "1"]
         case api.Log(text):
--- a/winchdyke/interface.py
+++ b/winchdyke/interface.py
@@ -259,10 +259,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Probe:
-    """Probe a node."""
+class Cancel:
+    """Stop waiting for one attempt; it may have run, and its work may go on."""
 
-    node: str
+    request: str
+    attempt: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,4 +278,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | SetTimer | Probe | WatchList | Log
+Action = Send | Refuse | Fail | SetTimer | Cancel | WatchList | Log
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -13,15 +13,8 @@
 from winchdyke.interface import Effect, Outcome, Scope
 
 # Gradient2: the window of requests out at one node.
-START, FLOOR, CEILING = (
-    4.0,
-    1.0,
-    16.0,
-)  # several to begin with; one keeps the latency heard; half the design's top
-INTERVAL_MS, MIN_SAMPLES = (
-    500.0,
-    3,
-)  # between two steps: some ten service times; fewer answers say nothing yet
+START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
+INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
 CLAMP, SMOOTHING = 0.5, 0.5  # no more than a halving is sought in one step, and half of it done at once
@@ -33,13 +26,11 @@
 SURE = 2.0  # time left, in expected latencies, from which on the aim counts as made
 
 SILENT_AIMS = 2.0  # silence past this many of the shortest aims, with work out, makes a node suspect
+STRAY = 2.5  # ages of an ordinary answer, and overtaken: rare by chance, and early enough to try again
 TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
 COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
-WATCH_RETRY_MS = (
-    500.0  # after a failed list call, up to doubled at random; far under the time that a rule allows
-)
-
+WATCH_RETRY_MS = 500.0  # after a failed list call, up to doubled at random: far under any rule's time
 RATE_MS = 1500.0  # half-life of rates: the second that plans count in, and a meter's delay
 
 
@@ -52,7 +43,6 @@
         self.short = 1.0  # latency over expected work, so that big requests do not read as overload
 
     def sample(self, latency: float, expected: float) -> None:
-        """Take in an answer; a time-out counts with its age, which is the least that it would have been."""
         gain = SHORT_GAIN if self.expected else 1.0
         self.latency += gain * (max(latency, 1e-6) - self.latency)
         self.expected += gain * (expected - self.expected)
@@ -61,7 +51,6 @@
         self.samples += 1
 
     def step(self, now: float, normal: float) -> None:
-        """Move the window once an interval, where there was enough to judge by."""
         if now < self.due or self.samples < MIN_SAMPLES:
             return
         # Guards against congestion learnt as normal, from whatever cause. It hurts where a node is slow for
@@ -83,7 +72,6 @@
         self.next, self.count = -1.0, 0
 
     def drops(self, now: float, sojourn: float) -> bool:
-        """Whether the request at the head, held for ``sojourn``, is to be refused."""
         if sojourn < self.target:
             self.next, self.count = -1.0, 0
         elif self.next < 0:
@@ -102,7 +90,6 @@
         self.cfg, self.taken, self.extra = cfg, deque[float](), deque[float]()
 
     def allows(self, now: float) -> bool:
-        """Whether one more fits now; extras are kept a tick longer than requests, to be safe at the edge."""
         cfg, since = self.cfg, now - self.cfg.extra_window_ms
         for times, first in ((self.taken, since), (self.extra, since - cfg.tick_ms)):
             while times and times[0] <= first:
@@ -117,25 +104,18 @@
     def __init__(self, cfg: api.Settings, plan: api.Plan, now: float) -> None:
         self.cfg, self.plan, self.at, self.gateways = cfg, plan, now, 1
         self.own = self.metered = self.total = 0.0  # units a second: sent now, when the meter ran, everywhere
-        self.told = -1e18
+        self.told, self.part = -1e18, 1.0
         # Both stores begin empty: a gateway that was killed cannot know what it or others just spent.
         self.reserve = self.limit = 0.0
 
-    @property
-    def part(self) -> float:
-        """This gateway's part of the volume's use, as far as it is told; an even part where it is not."""
-        even = 1.0 / self.gateways
-        if self.gateways == 1 or self.at - self.told > 2 * RATE_MS:
-            return even
-        return min(1.0, max(even / 2, (self.metered + even) / (max(self.total, self.metered) + 1.0)))
-
     def refill(self, now: float) -> None:
-        """Bring the account up to now."""
-        seconds, plan, part = (now - self.at) / 1000, self.plan, self.part
-        self.own *= 0.5 ** ((now - self.at) / RATE_MS)
-        self.at = now
-        most = (plan.reserve + self.cfg.largest_units) * part
-        self.reserve = min(most, self.reserve + plan.reserve * part * seconds)
+        seconds, plan, self.part = (now - self.at) / 1000, self.plan, 1.0 / self.gateways
+        if now - self.told < 2 * RATE_MS:
+            seen = (self.metered + self.part) / (max(self.total, self.metered) + 1.0)
+            self.part = min(1.0, max(self.part / 2 if self.gateways > 1 else 1.0, seen))
+        self.own, self.at = self.own * 0.5 ** (seconds * 1000 / RATE_MS), now
+        most = (plan.reserve + self.cfg.largest_units) * self.part
+        self.reserve = min(most, self.reserve + plan.reserve * self.part * seconds)
         self.limit = min(plan.limit_burst / self.gateways, self.limit + plan.limit / self.gateways * seconds)
 
 
@@ -148,7 +128,7 @@
         self.sent: list[tuple[NodeView, float]] = []
         self.out = self.moot = 0
         self.maybe: tuple[NodeView, float] | None = None  # the first attempt that may have run
-        self.done = self.streaming = False
+        self.done = False
 
     def may_go_to(self, node: NodeView, now: float) -> bool:
         """The repeat rule: never two out, and only where a repeat does no harm."""
@@ -156,16 +136,13 @@
             return not self.out
         first, sent = self.maybe
         group = {Scope.ALL: True, Scope.ZONE: first.zone == node.zone, Scope.CELL: first.shard == node.shard}
-        return (
-            self.kind.effect is Effect.KEYED and group[self.kind.scope] and now < sent + self.kind.memory_ms
-        )
+        fresh = now < sent + self.kind.memory_ms
+        return fresh and self.kind.effect is Effect.KEYED and group[self.kind.scope]
 
     @property
     def refusable(self) -> bool:
-        """Whether the client may be told that another try is harmless."""
-        if (self.maybe is None and not self.out) or self.kind.effect is Effect.IDEMPOTENT:
-            return True
-        return self.kind.effect is Effect.KEYED and self.kind.scope is Scope.ALL
+        everywhere = self.kind.effect is Effect.KEYED and self.kind.scope is Scope.ALL
+        return everywhere or self.kind.effect is Effect.IDEMPOTENT or (self.maybe is None and not self.out)
 
 
 class NodeView:
@@ -175,6 +152,8 @@
         self.name, self.shard, self.zone, self.ready = entry.name, entry.shard, entry.zone, False
         self.window, self.heard, self.born = Window(now), now, -1e18
         self.out: dict[tuple[str, int], tuple[float, str]] = {}
+        self.strays: dict[tuple[str, int], tuple[float, str]] = {}  # out, but overtaken: taken for lost
+        self.newest = now  # when the newest of the attempts that were answered was sent
         self.lost: float | None = None  # since when it has been suspect
         self.restarted = False  # a failed connection or a reset was seen since
         self.trial = self.gap = self.credit = 0.0
@@ -185,21 +164,15 @@
         """Be cold; what others sent a moment ago is not known, so nothing is saved up."""
         self.born, self.credit, self.credit_at, self.lost = born, 0.0, now, None
 
-    def cold_part(self, cfg: api.Settings, now: float) -> float | None:
-        """This gateway's part of the units a cold node bears in one of the rule's windows; None once warm."""
+    def bears(self, cfg: api.Settings, now: float, units: float) -> bool:
+        """Whether a node may be sent so much: a cold one has this gateway's part of the rule's units."""
         age = max(0.0, now - self.born)
         if not cfg.fall_window_ms or age >= cfg.warm_after_ms:
-            return None
-        return cfg.cold_units / cfg.gateways * (1 + (1 / cfg.cold_from - 1) * age / cfg.warm_after_ms)
-
-    def bears(self, cfg: api.Settings, now: float, units: float) -> bool:
-        """Whether a cold node may be sent so much more; a request above the part waits for a full credit."""
-        part = self.cold_part(cfg, now)
-        if part is None:
             return True
+        part = cfg.cold_units / cfg.gateways * (1 + (1 / cfg.cold_from - 1) * age / cfg.warm_after_ms)
         grown = part * (1 - COLD_BURST) * (now - self.credit_at) / cfg.fall_window_ms
         self.credit, self.credit_at = min(part * COLD_BURST, self.credit + grown), now
-        return self.credit >= min(units, part * COLD_BURST)
+        return self.credit >= min(units, part * COLD_BURST)  # a larger one waits for all, and overdraws
 
     def room(self, now: float, kind: api.RequestClass, shares: dict[str, float]) -> bool:
         """Room in the window; a full one still takes a class that is under its firm share of it."""
@@ -238,7 +211,6 @@
         self.actions: list[api.Action] = []
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
-        """Take in all events of one moment, then decide."""
         self.now, self.actions, sweep = now, [], not self.tag
         self.tag += sweep
         for event in events:
@@ -251,12 +223,10 @@
             elif isinstance(event, api.TimerFired):
                 sweep = sweep or not event.tag
                 held = self.requests.get(self.tags.pop(event.tag, ""))
-                if held and not held.done and not held.out and not held.streaming:
+                if held and not held.done and not held.out:
                     self.close(held)
-            elif isinstance(event, api.ClientGone | api.StreamStarted) and event.request in self.requests:
-                self.requests[event.request].streaming = True  # its client has it, or wants it no more
-                if isinstance(event, api.ClientGone):
-                    self.finish(self.requests[event.request])
+            elif isinstance(event, api.ClientGone) and event.request in self.requests:
+                self.finish(self.requests[event.request])
         if sweep:
             self.sweep()
         for shard in sorted(self.queues if sweep else self.dirty):
@@ -265,7 +235,6 @@
         return self.actions
 
     def listed(self, news: api.NodeList) -> None:
-        """Bring the nodes up to the list."""
         if news.kind is api.ListKind.FAILED:
             self.watching, self.watch_at = False, self.now + WATCH_RETRY_MS * (1 + self.random.random())
             self.actions.append(api.Log("the node list could not be read; asking again"))
@@ -287,7 +256,6 @@
         return max(ready, key=lambda n: (n.lost is None, n.born), default=None)
 
     def take(self, request: api.Request) -> None:
-        """Take a client's request and put it where its data lies."""
         kind, now = self.kinds[request.class_name], self.now
         plan = self.plans.get(request.plan) or api.Plan(request.plan, 1.0, 1.0, 0.0, 0.0)
         volume = self.volumes.setdefault(request.volume, Volume(self.cfg, plan, now))
@@ -318,7 +286,7 @@
     def wait_at(self, shard: int) -> float:
         """How long a new object would wait at a shard, in ordinary latencies; a cold one won't do."""
         node = self.node_of(shard)
-        if node is None or node.lost is not None or node.cold_part(self.cfg, self.now) is not None:
+        if node is None or node.lost is not None or self.now - node.born < self.cfg.warm_after_ms:
             return self.longest
         return (1 + (len(self.queues.get(shard, ())) + len(node.out)) / node.window.size) * node.window.short
 
@@ -329,23 +297,18 @@
         if held.out:
             return
         self.requests.pop(held.request.id, None)
-        turns = self.turns.get(held.request.key) if held.kind.in_order else None
-        if turns and held in turns:
-            turns.remove(held)
-            self.dirty |= {other.shard for other in turns}
-            if not turns:
-                del self.turns[held.request.key]
+        if held.kind.in_order and held in self.turns.get(held.request.key, ()):
+            self.turns[held.request.key].remove(held)
 
     def close(self, held: Held, retry_after: float = 0.0) -> None:
-        """Give the final answer: a refusal where another try is harmless, else a failure."""
         answer = api.Refuse(held.request.id, retry_after) if held.refusable else api.Fail(held.request.id)
         self.actions.append(answer)
         self.finish(held)
 
     def ended(self, event: api.AttemptEnded) -> None:
-        """Learn from the end of an attempt, and give its request back, or its final answer."""
         node, held, outcome = self.nodes.get(event.node), self.requests.get(event.request), event.outcome
-        if node is None or held is None or node.out.pop((event.request, event.attempt), None) is None:
+        key = (event.request, event.attempt)
+        if node is None or held is None or not (node.out.pop(key, None) or node.strays.pop(key, None)):
             return
         held.out -= 1
         held.moot += outcome is Outcome.UNSENT
@@ -364,22 +327,23 @@
             self.place(held)
 
     def learn(self, node: NodeView, held: Held, event: api.AttemptEnded) -> None:
-        """What an outcome tells of its node and its volume."""
         kind, outcome, units = held.kind, event.outcome, held.request.units
         if outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.SHED):
-            node.heard = self.now
+            node.heard, node.newest = self.now, max(node.newest, held.sent[event.attempt][1])
             if node.lost is not None:
                 self.recovered(node)
-        if outcome is Outcome.SERVED:
+        # A time-out counts as congestion with its age, unless later attempts were answered: then it was lost.
+        late = outcome is Outcome.TIMED_OUT and node.newest < held.sent[event.attempt][1] <= node.heard
+        if outcome is Outcome.SERVED or late:
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
             node.window.size = max(FLOOR, node.window.size * CLAMP)
-        elif outcome is Outcome.TIMED_OUT and node.heard >= held.sent[event.attempt][1]:
-            node.window.sample(event.latency_ms, self.cost[kind.name] * units)
-        elif outcome in (Outcome.TIMED_OUT, Outcome.DIAL_FAILED, Outcome.RESET):
-            node.restarted = node.restarted or outcome is not Outcome.TIMED_OUT
+        elif outcome in (Outcome.DIAL_FAILED, Outcome.RESET):
+            node.restarted = True
+            self.suspect(node)
+        elif outcome is Outcome.TIMED_OUT and node.heard < held.sent[event.attempt][1]:
             self.suspect(node)
         if event.used_percent is not None:
             volume = held.volume
@@ -395,7 +359,6 @@
         node.trial = self.now + node.gap
 
     def recovered(self, node: NodeView) -> None:
-        """An answer ends suspicion at once; a node that was away is cold."""
         # A restart is told by failed connections, or by a silence that outlasts all deadlines: no pause does.
         # It covers what the list tells late. It hurts where a partition healed: the node was warm all along.
         if node.restarted or self.now - (node.lost or self.now) > self.longest:
@@ -403,11 +366,25 @@
         node.lost, node.restarted, node.window.size = None, False, min(node.window.size, START)
         self.actions.append(api.Log(f"{node.name} answers again"))
 
+    def look_for_strays(self, node: NodeView) -> None:
+        # Guards against attempts that a well node will not answer (lost requests or answers, a hung worker)
+        # that fill the window until their deadlines: what others have long overtaken has its room back and
+        # may go again. It hurts where a node serves far out of turn.
+        for (name, attempt), entry in list(node.out.items()):
+            held = self.requests[name]
+            own = self.cost[held.kind.name] * held.request.units * node.window.short
+            if entry[0] < node.newest and self.now - entry[0] > STRAY * max(own, node.window.latency):
+                node.strays[name, attempt] = node.out.pop((name, attempt))
+                self.dirty.add(node.shard)
+                again = held.kind.effect is not Effect.AT_MOST_ONCE and len(held.sent) < self.cfg.max_attempts
+                if again and self.cfg.may_cancel and self.now < held.aim and self.budget.allows(self.now):
+                    self.actions.append(api.Cancel(name, attempt))
+
     def sweep(self) -> None:
-        """Look at what only time changes: silence, windows, stale requests, the watch."""
         cfg, now = self.cfg, self.now
         self.actions.append(api.SetTimer(0, SWEEP_MS))
         self.rest = {key: until for key, until in self.rest.items() if until > now}
+        self.turns = {key: turns for key, turns in self.turns.items() if turns}
         if not self.watching and now >= self.watch_at:
             self.actions.append(api.WatchList())
             self.watch_at = now + 4 * WATCH_RETRY_MS
@@ -417,37 +394,29 @@
             oldest = min((sent for sent, _ in node.out.values()), default=now)
             if node.lost is None and now - max(node.heard, oldest) > self.silence:
                 self.suspect(node)
+            self.look_for_strays(node)
         for shard, queue in self.queues.items():
             for name, head in {held.kind.name: held for held in reversed(queue.values())}.items():
                 codel = self.codels.setdefault((shard, name), CoDel(head.kind.aim_ms))
                 if codel.drops(now, now - head.at) and head.refusable:
                     self.close(head, cfg.max_retry_after_ms)
 
-    def tier(self, held: Held, node: NodeView) -> float:
-        """The part of its full worth that a request's units would earn: reserve, share, or beyond both."""
-        cfg = self.cfg
-        if held.volume.plan.reserve and held.volume.reserve > 0:
-            return 1.0
-        if len(node.used) < 2:
-            return cfg.fair_worth
-        over = node.used.get(held.request.volume, 0.0) * len(node.used) / sum(node.used.values())
-        return cfg.idle_worth + (cfg.fair_worth - cfg.idle_worth) / max(1.0, over) ** 2
-
     def value(self, held: Held, node: NodeView) -> float:
-        """Worth still to be earned for each unit of node time."""
-        kind, plan, cost = held.kind, held.volume.plan, self.cost[held.kind.name]
+        """Worth to be earned for each unit of node time: in the reserve, in the share, beyond, or late."""
+        cfg, kind, plan, cost = self.cfg, held.kind, held.volume.plan, self.cost[held.kind.name]
+        over = node.used.get(held.request.volume, 0.0) * len(node.used) / (sum(node.used.values()) or 1.0)
+        tier = cfg.idle_worth + (cfg.fair_worth - cfg.idle_worth) / max(1.0, over) ** 2
+        if plan.reserve and held.volume.reserve > 0:
+            tier = 1.0
         need = SURE * cost * held.request.units * max(1.0, node.window.short)
         chance = min(1.0, max(0.0, held.aim - self.now) / need)
-        part = kind.late_share * self.cfg.idle_worth + chance * self.tier(held, node)
-        return kind.worth * plan.worth_factor * part / cost
+        return kind.worth * plan.worth_factor * (kind.late_share * cfg.idle_worth + chance * tier) / cost
 
     def eligible(self, held: Held, node: NodeView) -> bool:
-        """Whether the rules let a held request go to a node now."""
         now, key = self.now, held.request.key
-        first = held.kind.in_order and key and not held.sent
-        if first and (self.turns[key][0] is not held or now < self.rest.get(key, now)):
-            return False
-        if now >= held.end or not held.may_go_to(node, now):
+        waits = held.kind.in_order and key and not held.sent
+        waits = waits and (self.turns[key][0] is not held or now < self.rest.get(key, now))
+        if waits or now >= held.end or not held.may_go_to(node, now):
             return False
         if len(held.sent) > held.moot:
             return self.budget.allows(now)
@@ -455,28 +424,23 @@
 
     def dispatch(self, shard: int) -> None:
         """Send the most valuable held requests of a shard while its node has room."""
-        queue, node, now = self.queues.get(shard), self.node_of(shard), self.now
-        if not queue:
-            return
-        if node is None or node.lost is not None:
-            for held in [h for h in queue.values() if h.request.shard < 0]:
-                del queue[held.request.id]
-                self.place(held)
+        queue, node, now = self.queues.get(shard, {}), self.node_of(shard), self.now
+        for held in [h for h in queue.values() if h.request.shard < 0 and (node is None or node.lost)]:
+            del queue[held.request.id]
+            self.place(held)
         if node is None or not any(node.room(now, kind, self.shares) for kind in self.cfg.classes):
             return
         keep, node.used_at = 0.5 ** ((now - node.used_at) / RATE_MS), now
         node.used = {name: use * keep for name, use in node.used.items() if use * keep > 0.05}
         for volume in {h.request.volume: h.volume for h in queue.values()}.values():
             volume.refill(now)
-        able = [h for h in queue.values() if self.eligible(h, node)]
-        for held in sorted(able, key=lambda h: (-self.value(h, node), h.aim)):
+        for held in sorted(queue.values(), key=lambda h: (-self.value(h, node), h.aim)):
             if node.room(now, held.kind, self.shares) and self.eligible(held, node):
                 if not node.bears(self.cfg, now, held.request.units):
                     return
                 self.send(held, node)
 
     def send(self, held: Held, node: NodeView) -> None:
-        """Start an attempt, and book it everywhere."""
         now, request, volume = self.now, held.request, held.volume
         del self.queues[held.shard][request.id]
         if len(held.sent) > held.moot:
