--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -131,3 +131,29 @@
         return [send for _, send in gateway.sends]
 
     assert played() == played()
+
+
+def test_a_hurried_client_is_not_taken_for_a_second_try(gateway):
+    """Incident i9cbc9e: short times left were read as late second tries, and served last."""
+    gateway.ask("patient", shard=5)
+    gateway.give(*[request(f"r{n}", key=f"k{n}") for n in range(6)])
+    gateway.run(200.0)
+    gateway.give(request("stale", key="s", left_ms=2000.0), request("hurried", key="h", left_ms=400.0))
+    held = gateway.scheduler.requests
+    assert held["hurried"].aim == gateway.now + 300.0
+
+
+def test_a_second_try_counts_from_its_first(gateway):
+    gateway.ask("a", shard=5, key="x", left_ms=300.0)
+    began = gateway.now
+    gateway.run(400.0)
+    assert isinstance(gateway.answers["a"], api.Refuse)
+    gateway.ask("again", shard=5, key="x")
+    assert gateway.scheduler.requests["again"].aim == began + 300.0
+
+
+def test_what_cannot_be_done_in_its_time_is_not_sent(gateway):
+    gateway.ask("a", units=8.0, left_ms=20.0)
+    gateway.run(50.0)
+    assert not gateway.sent("a")
+    assert isinstance(gateway.answers["a"], api.Refuse)
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -26,7 +26,6 @@
 SURE = 2.0  # time left, in expected latencies, from which on the aim counts as made
 
 SILENT_AIMS = 2.0  # silence past this many of the shortest aims, with work out, makes a node suspect
-STRAY = 2.5  # ages of an ordinary answer, and overtaken: rare by chance, and early enough to try again
 TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
 COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
@@ -124,7 +123,7 @@
 
     def __init__(self, request: api.Request, kind: api.RequestClass, volume: Volume, now: float) -> None:
         self.request, self.kind, self.volume, self.at = request, kind, volume, now
-        self.shard, self.aim, self.end = request.shard, now + kind.aim_ms, now
+        self.shard, self.first, self.aim, self.end = request.shard, now, now, now
         self.sent: list[tuple[NodeView, float]] = []
         self.out = self.moot = 0
         self.maybe: tuple[NodeView, float] | None = None  # the first attempt that may have run
@@ -152,8 +151,6 @@
         self.name, self.shard, self.zone, self.ready = entry.name, entry.shard, entry.zone, False
         self.window, self.heard, self.born = Window(now), now, -1e18
         self.out: dict[tuple[str, int], tuple[float, str]] = {}
-        self.strays: dict[tuple[str, int], tuple[float, str]] = {}  # out, but overtaken: taken for lost
-        self.newest = now  # when the newest of the attempts that were answered was sent
         self.lost: float | None = None  # since when it has been suspect
         self.restarted = False  # a failed connection or a reset was seen since
         self.trial = self.gap = self.credit = 0.0
@@ -194,7 +191,7 @@
         self.shares = {k.name: k.worth / worth for k in cfg.classes}
         self.silence = SILENT_AIMS * min((k.aim_ms for k in cfg.classes), default=0.0)
         self.longest = max((k.deadline_ms for k in cfg.classes), default=0.0)
-        self.full_try = dict.fromkeys(self.kinds, 0.0)  # the longest time any try of the class had left
+        self.refused: dict[tuple[str, str], float] = {}  # when what was refused first came, by volume and key
         # ms of work for each unit, by class; until it is learnt, a part of the class's aim
         self.cost = {k.name: NODE_PART / 2 * k.aim_ms / cfg.mean_units for k in cfg.classes}
         self.nodes: dict[str, NodeView] = {}
@@ -264,9 +261,9 @@
         held = self.requests[request.id] = Held(request, kind, volume, now)
         left = max(0.0, request.left_ms - 2 * self.cfg.tick_ms)  # a little early: the answer is owed by then
         held.end = now + left
-        # A client's second try counts from its first: what its time left lacks of a full try is gone already.
-        self.full_try[kind.name] = max(self.full_try[kind.name], request.left_ms)
-        held.aim -= self.full_try[kind.name] - request.left_ms
+        # A client's second try counts from its first. Its time left does not tell: clients may be in a hurry.
+        held.first = self.refused.pop((request.volume, request.key), now)
+        held.aim = min(held.first + kind.aim_ms, held.end)
         self.budget.taken.append(now)
         self.tag += 1
         self.tags[self.tag] = request.id
@@ -303,12 +300,12 @@
     def close(self, held: Held, retry_after: float = 0.0) -> None:
         answer = api.Refuse(held.request.id, retry_after) if held.refusable else api.Fail(held.request.id)
         self.actions.append(answer)
+        self.refused[held.request.volume, held.request.key] = held.first
         self.finish(held)
 
     def ended(self, event: api.AttemptEnded) -> None:
         node, held, outcome = self.nodes.get(event.node), self.requests.get(event.request), event.outcome
-        key = (event.request, event.attempt)
-        if node is None or held is None or not (node.out.pop(key, None) or node.strays.pop(key, None)):
+        if node is None or held is None or node.out.pop((event.request, event.attempt), None) is None:
             return
         held.out -= 1
         held.moot += outcome is Outcome.UNSENT
@@ -329,11 +326,11 @@
     def learn(self, node: NodeView, held: Held, event: api.AttemptEnded) -> None:
         kind, outcome, units = held.kind, event.outcome, held.request.units
         if outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.SHED):
-            node.heard, node.newest = self.now, max(node.newest, held.sent[event.attempt][1])
+            node.heard = self.now
             if node.lost is not None:
                 self.recovered(node)
-        # A time-out counts as congestion with its age, unless later attempts were answered: then it was lost.
-        late = outcome is Outcome.TIMED_OUT and node.newest < held.sent[event.attempt][1] <= node.heard
+        # A time-out counts with its age, the least that its latency would have been.
+        late = outcome is Outcome.TIMED_OUT and held.sent[event.attempt][1] <= node.heard
         if outcome is Outcome.SERVED or late:
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             lower = event.latency_ms / units < self.cost[kind.name]
@@ -366,23 +363,10 @@
         node.lost, node.restarted, node.window.size = None, False, min(node.window.size, START)
         self.actions.append(api.Log(f"{node.name} answers again"))
 
-    def look_for_strays(self, node: NodeView) -> None:
-        # Guards against attempts that a well node will not answer (lost requests or answers, a hung worker)
-        # that fill the window until their deadlines: what others have long overtaken has its room back and
-        # may go again. It hurts where a node serves far out of turn.
-        for (name, attempt), entry in list(node.out.items()):
-            held = self.requests[name]
-            own = self.cost[held.kind.name] * held.request.units * node.window.short
-            if entry[0] < node.newest and self.now - entry[0] > STRAY * max(own, node.window.latency):
-                node.strays[name, attempt] = node.out.pop((name, attempt))
-                self.dirty.add(node.shard)
-                again = held.kind.effect is not Effect.AT_MOST_ONCE and len(held.sent) < self.cfg.max_attempts
-                if again and self.cfg.may_cancel and self.now < held.aim and self.budget.allows(self.now):
-                    self.actions.append(api.Cancel(name, attempt))
-
     def sweep(self) -> None:
         cfg, now = self.cfg, self.now
         self.actions.append(api.SetTimer(0, SWEEP_MS))
+        self.refused = {key: at for key, at in self.refused.items() if now - at < self.longest}
         self.rest = {key: until for key, until in self.rest.items() if until > now}
         self.turns = {key: turns for key, turns in self.turns.items() if turns}
         if not self.watching and now >= self.watch_at:
@@ -394,7 +378,6 @@
             oldest = min((sent for sent, _ in node.out.values()), default=now)
             if node.lost is None and now - max(node.heard, oldest) > self.silence:
                 self.suspect(node)
-            self.look_for_strays(node)
         for shard, queue in self.queues.items():
             for name, head in {held.kind.name: held for held in reversed(queue.values())}.items():
                 codel = self.codels.setdefault((shard, name), CoDel(head.kind.aim_ms))
@@ -410,13 +393,16 @@
             tier = 1.0
         need = SURE * cost * held.request.units * max(1.0, node.window.short)
         chance = min(1.0, max(0.0, held.aim - self.now) / need)
-        return kind.worth * plan.worth_factor * (kind.late_share * cfg.idle_worth + chance * tier) / cost
+        late = kind.late_share * cfg.idle_worth * min(1.0, max(0.0, held.end - self.now) / need)
+        return kind.worth * plan.worth_factor * (late + chance * tier) / cost
 
     def eligible(self, held: Held, node: NodeView) -> bool:
         now, key = self.now, held.request.key
         waits = held.kind.in_order and key and not held.sent
         waits = waits and (self.turns[key][0] is not held or now < self.rest.get(key, now))
-        if waits or now >= held.end or not held.may_go_to(node, now):
+        # Guards against clients in a hurry: what cannot be done in its time left only takes others' time.
+        hopeless = now + self.cost[held.kind.name] * held.request.units >= held.end
+        if waits or hopeless or not held.may_go_to(node, now):
             return False
         if len(held.sent) > held.moot:
             return self.budget.allows(now)
