--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -152,7 +152,7 @@
         self.window, self.heard, self.born = Window(now), now, -1e18
         self.out: dict[tuple[str, int], tuple[float, str]] = {}
         self.lost: float | None = None  # since when it has been suspect
-        self.restarted = False  # a failed connection or a reset was seen since
+        self.restarted = False  # a failed connection was seen since
         self.trial = self.gap = self.credit = 0.0
         self.credit_at = self.used_at = now
         self.used: dict[str, float] = {}  # units beyond the reserve by volume, over its weight, fading
@@ -338,7 +338,7 @@
         elif outcome is Outcome.SHED:
             node.window.size = max(FLOOR, node.window.size * CLAMP)
         elif outcome in (Outcome.DIAL_FAILED, Outcome.RESET):
-            node.restarted = True
+            node.restarted = node.restarted or outcome is Outcome.DIAL_FAILED
             self.suspect(node)
         elif outcome is Outcome.TIMED_OUT and node.heard < held.sent[event.attempt][1]:
             self.suspect(node)
@@ -356,9 +356,10 @@
         node.trial = self.now + node.gap
 
     def recovered(self, node: NodeView) -> None:
-        # A restart is told by failed connections, or by a silence that outlasts all deadlines: no pause does.
-        # It covers what the list tells late. It hurts where a partition healed: the node was warm all along.
-        if node.restarted or self.now - (node.lost or self.now) > self.longest:
+        # A restart is told by connections that fail for longer than a pause, or by silence past all deadlines,
+        # not by a lone reset or failed connection. It covers what the list tells late. It hurts where a
+        # partition healed: the node was warm all along.
+        if self.now - (node.lost or self.now) > (self.silence if node.restarted else self.longest):
             node.start(self.now, self.now)
         node.lost, node.restarted, node.window.size = None, False, min(node.window.size, START)
         self.actions.append(api.Log(f"{node.name} answers again"))
