--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -356,7 +356,7 @@
         node.trial = self.now + node.gap
 
     def recovered(self, node: NodeView) -> None:
-        # A restart is told by connections that fail for longer than a pause, or by silence past all deadlines,
+        # A restart is told by connections failing for longer than a pause, or by silence past all deadlines,
         # not by a lone reset or failed connection. It covers what the list tells late. It hurts where a
         # partition healed: the node was warm all along.
         if self.now - (node.lost or self.now) > (self.silence if node.restarted else self.longest):
