--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -22,31 +22,31 @@
 
 
 def test_window_grows_by_the_root_step_while_latency_holds_and_stops_at_the_ceiling():
-    window = Window(0.0)
+    window = Window(0.0, 2)
     assert START < stepped(window, 40.0, 40.0, 1) <= START + START**0.5
     assert stepped(window, 40.0, 40.0, 60) == CEILING
 
 
 def test_window_does_not_grow_when_less_than_half_used():
-    assert stepped(Window(0.0), 40.0, 40.0, 10, used=1) == START
+    assert stepped(Window(0.0, 2), 40.0, 40.0, 10, used=1) == START
 
 
 def test_window_falls_to_the_floor_under_lasting_congestion():
     """Congestion must not be learnt as normal, however long it lasts."""
-    window = Window(0.0)
+    window = Window(0.0, 2)
     stepped(window, 40.0, 40.0, 5)
     assert stepped(window, 400.0, 40.0, 200) == FLOOR
 
 
 def test_big_requests_do_not_read_as_overload():
-    window = Window(0.0)
+    window = Window(0.0, 2)
     stepped(window, 40.0, 40.0, 5)
     size = window.size
     assert stepped(window, 160.0, 160.0, 5) >= size
 
 
 def test_too_few_answers_do_not_move_the_window():
-    window = Window(0.0)
+    window = Window(0.0, 2)
     window.sample(900.0, 40.0)
     window.step(INTERVAL_MS * 3, normal=2.0)
     assert window.size == START
@@ -171,3 +171,22 @@
     gateway.run(50.0)
     assert not gateway.sent("a")
     assert isinstance(gateway.answers["a"], api.Refuse)
+
+
+def test_many_gateways_go_under_one_request_each():
+    """Incident i353827: twelve gateways with a request each stood ten deep at a node of two cores."""
+    assert stepped(Window(0.0, 6), 900.0, 40.0, 60) == FLOOR
+    assert stepped(Window(0.0, 12), 900.0, 40.0, 60) == FLOOR / 2
+    gateway = Gateway(gateways=12)
+    gateway.nodes()
+    view = gateway.scheduler.nodes["n0"]
+    view.window.size, view.window.latency = 0.5, 100.0
+    gateway.run(200.0)
+    gateway.give(request("a"), request("b"))
+    gateway.run(40.0)
+    gateway.end("a", Outcome.SERVED)
+    view.window.latency = 100.0
+    gateway.run(60.0)
+    assert not gateway.sent("b")
+    gateway.run(80.0)
+    assert gateway.sent("b")
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -14,6 +14,7 @@
 
 # Gradient2: the window of requests out at one node.
 START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
+POOL_FLOOR = 6.0  # requests at a node at which all gateways' floors together may end: a few cores
 INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
@@ -36,7 +37,8 @@
 class Window:
     """Gradient2: how many requests may be out at a node, learnt from the latency of served attempts."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, gateways: int) -> None:
+        self.floor = min(FLOOR, POOL_FLOOR / gateways)
         self.size, self.peak, self.due, self.samples = START, 0, now + INTERVAL_MS, 0
         self.latency = self.expected = self.long = 0.0
         self.short = 1.0  # latency over expected work, so that big requests do not read as overload
@@ -59,7 +61,7 @@
         # The root step fades with the gradient: at a window of 4 it would otherwise outweigh the deepest cut.
         step = self.size**0.5 * (gradient - CLAMP) / (1 - CLAMP) if 2 * self.peak >= self.size else 0.0
         self.size += SMOOTHING * (self.size * gradient + step - self.size)
-        self.size = min(CEILING, max(FLOOR, self.size))
+        self.size = min(CEILING, max(self.floor, self.size))
         self.due, self.samples, self.peak = now + INTERVAL_MS, 0, 0
 
 
@@ -147,9 +149,9 @@
 class NodeView:
     """What this gateway knows of a node: the list's word, its window, its health and its warm-up."""
 
-    def __init__(self, entry: api.Node, now: float) -> None:
+    def __init__(self, entry: api.Node, now: float, gateways: int) -> None:
         self.name, self.shard, self.zone, self.ready = entry.name, entry.shard, entry.zone, False
-        self.window, self.heard, self.born = Window(now), now, -1e18
+        self.window, self.heard, self.born = Window(now, gateways), now, -1e18
         self.out: dict[tuple[str, int], tuple[float, str]] = {}
         self.lost: float | None = None  # since when it has been suspect
         self.restarted = False  # a failed connection was seen since
@@ -175,6 +177,10 @@
         """Room in the window; a full one still takes a class that is under its firm share of it."""
         if self.lost is not None:
             return now >= self.trial
+        # Guards against many gateways at one node, each with its one request: a window under 1 is kept by
+        # waiting after each answer. It hurts where this gateway is alone there, until the window has grown.
+        if self.window.size < 1:
+            return not self.out and now - self.heard >= self.window.latency * (1 / self.window.size - 1)
         if len(self.out) < int(self.window.size):
             return True
         mine = sum(name == kind.name for _, name in self.out.values())
@@ -241,11 +247,11 @@
             for view in self.nodes.values():
                 view.ready = False
         for entry in news.nodes:
-            view = self.nodes.setdefault(entry.name, NodeView(entry, self.now))
+            view = self.nodes.setdefault(entry.name, NodeView(entry, self.now, self.cfg.gateways))
             view.ready, view.shard = entry.state is api.NodeState.READY, entry.shard
             if entry.started_ms and entry.started_ms > view.born:
                 view.start(entry.started_ms, self.now)
-                view.window = Window(self.now)
+                view.window = Window(self.now, self.cfg.gateways)
 
     def node_of(self, shard: int) -> NodeView | None:
         """The node that serves a shard now; of several, the one that came up last."""
@@ -336,7 +342,7 @@
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
-            node.window.size = max(FLOOR, node.window.size * CLAMP)
+            node.window.size = max(node.window.floor, node.window.size * CLAMP)
         elif outcome in (Outcome.DIAL_FAILED, Outcome.RESET):
             node.restarted = node.restarted or outcome is Outcome.DIAL_FAILED
             self.suspect(node)
@@ -356,7 +362,7 @@
         node.trial = self.now + node.gap
 
     def recovered(self, node: NodeView) -> None:
-        # A restart is told by connections failing for longer than a pause, or by silence past all deadlines,
+        # A restart is told by connections failing for longer than a pause, or by silence past all deadlines:
         # not by a lone reset or failed connection. It covers what the list tells late. It hurts where a
         # partition healed: the node was warm all along.
         if self.now - (node.lost or self.now) > (self.silence if node.restarted else self.longest):
