A cold node bears half of the rule's budget for the flow that its shard had

Each gateway's own flow adds up to no more than the node served, so the parts keep the rule with no agreement; a restarted gateway has no flow and falls back to the stated units. It could hurt where the successor is under half as strong. A new object that may have run now stays with its shard.

--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -190,3 +190,29 @@
     assert not gateway.sent("b")
     gateway.run(80.0)
     assert gateway.sent("b")
+
+
+def test_a_cold_node_bears_more_where_its_shard_had_a_flow(make):
+    """Day rough-1 of brno: the stated units alone held a successor far under what it can do."""
+
+    def units_borne(flow: float) -> float:
+        gateway = make(nodes=[node("n9", 5, started=900.0)])
+        gateway.scheduler.flow[5] = flow
+        gateway.give(*[request(f"r{n}", shard=5, units=1.0, left_ms=9000.0) for n in range(60)])
+        while gateway.now < 4000.0:
+            gateway.run(20.0)
+            for held in list(gateway.scheduler.requests.values()):
+                if held.out:
+                    gateway.end(held.request.id, Outcome.SERVED)
+        return float(len(gateway.sends))
+
+    assert units_borne(40.0) > units_borne(0.0) > 0
+
+
+def test_a_new_object_that_may_have_run_stays_with_its_shard(gateway):
+    gateway.ask("new", class_name="write", shard=-1)
+    first = gateway.sends[-1][1].node
+    gateway.give(*[request(f"r{n}", shard=int(first[1])) for n in range(9)])
+    gateway.end("new", Outcome.ERROR, closed=False)
+    gateway.run(600.0)
+    assert {send.node for _, send in gateway.sends if send.request == "new"} == {first}
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -29,9 +29,10 @@
 SILENT_AIMS = 2.0  # silence past this many of the shortest aims, with work out, makes a node suspect
 TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
 COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
+COLD_PART = 0.5  # of the rule's budget for the flow that a shard had from here: its new node may be smaller
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
 WATCH_RETRY_MS = 500.0  # after a failed list call, up to doubled at random: far under any rule's time
-RATE_MS = 1500.0  # half-life of rates: the second that plans count in, and a meter's delay
+RATE_MS, FLOW_MS = 1500.0, 15000.0  # half-lives: near the second that plans count in; longer than a restart
 
 
 class Window:
@@ -163,12 +164,16 @@
         """Be cold; what others sent a moment ago is not known, so nothing is saved up."""
         self.born, self.credit, self.credit_at, self.lost = born, 0.0, now, None
 
-    def bears(self, cfg: api.Settings, now: float, units: float) -> bool:
+    def bears(self, cfg: api.Settings, now: float, units: float, flow: float) -> bool:
         """Whether a node may be sent so much: a cold one has this gateway's part of the rule's units."""
         age = max(0.0, now - self.born)
         if not cfg.fall_window_ms or age >= cfg.warm_after_ms:
             return True
-        part = cfg.cold_units / cfg.gateways * (1 + (1 / cfg.cold_from - 1) * age / cfg.warm_after_ms)
+        able = cfg.cold_from + (1 - cfg.cold_from) * age / cfg.warm_after_ms
+        learnt = (
+            COLD_PART * cfg.fall_multiple * flow * cfg.fall_window_ms / 1000
+        )  # by what the shard's node did
+        part = able * max(cfg.cold_units / cfg.gateways / cfg.cold_from, learnt)
         grown = part * (1 - COLD_BURST) * (now - self.credit_at) / cfg.fall_window_ms
         self.credit, self.credit_at = min(part * COLD_BURST, self.credit + grown), now
         return self.credit >= min(units, part * COLD_BURST)  # a larger one waits for all, and overdraws
@@ -209,6 +214,7 @@
         self.turns: dict[str, deque[Held]] = {}
         self.rest: dict[str, float] = {}
         self.budget = Budget(cfg)
+        self.flow: dict[int, float] = {}  # units a second sent to each shard, over a long time
         self.tags: dict[int, str] = {}
         self.tag, self.watching, self.watch_at = 0, not cfg.must_ask, now
         self.actions: list[api.Action] = []
@@ -280,7 +286,7 @@
 
     def place(self, held: Held) -> None:
         """Queue a request at its shard; a new object where it is expected to be served soonest."""
-        if held.request.shard < 0:
+        if held.request.shard < 0 and held.maybe is None:
             shards = sorted({n.shard for n in self.nodes.values() if n.ready})
             held.shard = min(shards, key=self.wait_at, default=-1)
         self.queues.setdefault(held.shard, {})[held.request.id] = held
@@ -294,27 +300,24 @@
         return (1 + (len(self.queues.get(shard, ())) + len(node.out)) / node.window.size) * node.window.short
 
     def finish(self, held: Held) -> None:
-        """Let go of a request that has its final answer, and of its turn once its attempts have ended."""
         held.done = True
         self.queues.get(held.shard, {}).pop(held.request.id, None)
-        if held.out:
-            return
-        self.requests.pop(held.request.id, None)
-        if held.kind.in_order and held in self.turns.get(held.request.key, ()):
-            self.turns[held.request.key].remove(held)
+        if not held.out:
+            self.requests.pop(held.request.id, None)
+            if held.kind.in_order and held in self.turns.get(held.request.key, ()):
+                self.turns[held.request.key].remove(held)
 
     def close(self, held: Held, retry_after: float = 0.0) -> None:
         answer = api.Refuse(held.request.id, retry_after) if held.refusable else api.Fail(held.request.id)
         self.actions.append(answer)
-        self.refused[held.request.volume, held.request.key] = held.first
+        self.refused[held.request.volume, held.request.key or held.request.id] = held.first
         self.finish(held)
 
     def ended(self, event: api.AttemptEnded) -> None:
         node, held, outcome = self.nodes.get(event.node), self.requests.get(event.request), event.outcome
         if node is None or held is None or node.out.pop((event.request, event.attempt), None) is None:
             return
-        held.out -= 1
-        held.moot += outcome is Outcome.UNSENT
+        held.out, held.moot = held.out - 1, held.moot + (outcome is Outcome.UNSENT)
         self.dirty.add(node.shard)
         self.learn(node, held, event)
         if not outcome.never_ran and held.maybe is None:
@@ -330,31 +333,28 @@
             self.place(held)
 
     def learn(self, node: NodeView, held: Held, event: api.AttemptEnded) -> None:
-        kind, outcome, units = held.kind, event.outcome, held.request.units
+        kind, volume, outcome, units = held.kind, held.volume, event.outcome, held.request.units
         if outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.SHED):
             node.heard = self.now
             if node.lost is not None:
                 self.recovered(node)
-        # A time-out counts with its age, the least that its latency would have been.
-        late = outcome is Outcome.TIMED_OUT and held.sent[event.attempt][1] <= node.heard
+        late = (
+            outcome is Outcome.TIMED_OUT and held.sent[event.attempt][1] <= node.heard
+        )  # counts with its age
         if outcome is Outcome.SERVED or late:
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
             node.window.size = max(node.window.floor, node.window.size * CLAMP)
-        elif outcome in (Outcome.DIAL_FAILED, Outcome.RESET):
+        elif outcome in (Outcome.TIMED_OUT, Outcome.DIAL_FAILED, Outcome.RESET):
             node.restarted = node.restarted or outcome is Outcome.DIAL_FAILED
             self.suspect(node)
-        elif outcome is Outcome.TIMED_OUT and node.heard < held.sent[event.attempt][1]:
-            self.suspect(node)
         if event.used_percent is not None:
-            volume = held.volume
             volume.total, volume.told = volume.plan.usual_rate * event.used_percent / 100, self.now
             volume.metered += 0.5 * (volume.own - volume.metered)
 
     def suspect(self, node: NodeView) -> None:
-        """Go over to single trials at a node, further and further apart; say so once."""
         node.gap = TRIAL_MS if node.lost is None else min(TRIAL_MAX_MS, 2 * node.gap)
         if node.lost is None:
             self.actions.append(api.Log(f"{node.name} is suspect: single trials only"))
@@ -385,6 +385,7 @@
             oldest = min((sent for sent, _ in node.out.values()), default=now)
             if node.lost is None and now - max(node.heard, oldest) > self.silence:
                 self.suspect(node)
+        self.flow = {shard: flow * 0.5 ** (SWEEP_MS / FLOW_MS) for shard, flow in self.flow.items()}
         for shard, queue in self.queues.items():
             for name, head in {held.kind.name: held for held in reversed(queue.values())}.items():
                 codel = self.codels.setdefault((shard, name), CoDel(head.kind.aim_ms))
@@ -395,9 +396,8 @@
         """Worth to be earned for each unit of node time: in the reserve, in the share, beyond, or late."""
         cfg, kind, plan, cost = self.cfg, held.kind, held.volume.plan, self.cost[held.kind.name]
         over = node.used.get(held.request.volume, 0.0) * len(node.used) / (sum(node.used.values()) or 1.0)
-        tier = cfg.idle_worth + (cfg.fair_worth - cfg.idle_worth) / max(1.0, over) ** 2
-        if plan.reserve and held.volume.reserve > 0:
-            tier = 1.0
+        share = cfg.idle_worth + (cfg.fair_worth - cfg.idle_worth) / max(1.0, over) ** 2
+        tier = 1.0 if held.volume.reserve > 0 else share
         need = SURE * cost * held.request.units * max(1.0, node.window.short)
         chance = min(1.0, max(0.0, held.aim - self.now) / need)
         late = kind.late_share * cfg.idle_worth * min(1.0, max(0.0, held.end - self.now) / need)
@@ -429,7 +429,7 @@
             volume.refill(now)
         for held in sorted(queue.values(), key=lambda h: (-self.value(h, node), h.aim)):
             if node.room(now, held.kind, self.shares) and self.eligible(held, node):
-                if not node.bears(self.cfg, now, held.request.units):
+                if not node.bears(self.cfg, now, held.request.units, self.flow.get(shard, 0.0)):
                     return
                 self.send(held, node)
 
@@ -446,6 +446,7 @@
             volume.limit -= request.units
             volume.own += request.units * 0.693 * 1000 / RATE_MS
         node.credit -= request.units
+        self.flow[held.shard] = self.flow.get(held.shard, 0.0) + request.units * 693 / FLOW_MS
         node.out[(request.id, len(held.sent))] = (now, held.kind.name)
         node.window.peak = max(node.window.peak, len(node.out))
         held.sent.append((node, now))
