--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -19,7 +19,7 @@
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
 CLAMP, SMOOTHING = 0.5, 0.5  # no more than a halving is sought in one step, and half of it done at once
-NODE_PART = 0.15  # of the tightest aim, for an average request: the most latency that may count as normal
+NODE_PART = 0.1  # of the tightest aim, for an average request: the most latency that may count as normal
 
 TARGET, CODEL_INTERVAL = 0.75, 1.0  # CoDel, in aims: past the target there is hardly time left to be served
 
