--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -82,7 +82,7 @@
     [
         ("DEMAND\tgateway/0\ta\n", "line 5: DEMAND: a field is missing"),
         ("DEMAND\tgateway/0\ta\tread\tgold\tk\tsoon\tv\t2\t0\t1\t0\n", "DEMAND: could not convert"),
-        ("DEMAND\tgateway/0\ta\tnone\tgold\tk\t9\tv\t2\t0\t1\t0\n", "'none' is missing or unknown"),
+        ("DEMAND\tgateway/0\ta\tnone\tgold\tk\t9\tv\t2\t0\t1\t0\n", "line 5: DEMAND: unknown class 'none'"),
         ("HELLO\tgateway/0\n", "HELLO: unknown message"),
         ("VANISHED\tgateway/9\ta\n", "'gateway/9' is not running"),
         ("POWER_ON\tgateway/1\t7\t{}\n", "POWER_ON"),
--- a/winchdyke/benchlink.py
+++ b/winchdyke/benchlink.py
@@ -239,6 +239,8 @@
         elif kind == "MEMBERS":
             nodes = tuple(node(next(more, "").rstrip("\r\n").split("\t")) for _ in range(int(number(row[4]))))
             self.events.setdefault(who, []).append(api.NodeList(word(KINDS, row[2]), nodes))
+        elif kind == "DEMAND" and row[3] not in self.schedulers[who].kinds:
+            raise WireError(f"unknown class {row[3]!r}")
         elif kind in READERS:
             self.events.setdefault(who, []).append(READERS[kind](row))
         else:
