--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -197,7 +197,7 @@
 
     def units_borne(flow: float) -> float:
         gateway = make(nodes=[node("n9", 5, started=900.0)])
-        gateway.scheduler.flow[5] = flow
+        gateway.scheduler.shard(5).flow = flow
         gateway.give(*[request(f"r{n}", shard=5, units=1.0, left_ms=9000.0) for n in range(60)])
         while gateway.now < 4000.0:
             gateway.run(20.0)
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -192,6 +192,26 @@
         return mine < int(self.window.size * shares[kind.name]) and len(self.out) < CEILING
 
 
+class Shard:
+    """A shard: its nodes, what is held for it, and what this gateway has sent it."""
+
+    def __init__(self, number: int) -> None:
+        self.number, self.nodes, self.queue = number, dict[str, NodeView](), dict[str, Held]()
+        self.codels: dict[str, CoDel] = {}
+        self.flow, self.at = 0.0, 0.0
+
+    def node(self) -> NodeView | None:
+        """The node that serves it now; of several, the one that came up last."""
+        ready = [node for node in self.nodes.values() if node.ready]
+        return max(ready, key=lambda node: (node.lost is None, node.born), default=None)
+
+    def flowed(self, now: float, units: float) -> float:
+        """Units a second sent, over a long time, with those sent now."""
+        self.flow = self.flow * 0.5 ** ((now - self.at) / FLOW_MS) + units * 693 / FLOW_MS
+        self.at = now
+        return self.flow
+
+
 class Scheduler:
     """One gateway's decisions: hand it each batch of events with the time, and carry out what it returns."""
 
@@ -208,20 +228,20 @@
         self.nodes: dict[str, NodeView] = {}
         self.volumes: dict[str, Volume] = {}
         self.requests: dict[str, Held] = {}
-        self.queues: dict[int, dict[str, Held]] = {}
+        self.shards: dict[int, Shard] = {}
+        self.open: list[int] = []  # shards with a node that is ready
+        self.waiting: set[int] = set()  # shards at which requests are held
         self.dirty: set[int] = set()  # shards at which something has changed in this batch
-        self.codels: dict[tuple[int, str], CoDel] = {}
         self.turns: dict[str, deque[Held]] = {}
         self.rest: dict[str, float] = {}
         self.budget = Budget(cfg)
-        self.flow: dict[int, float] = {}  # units a second sent to each shard, over a long time
         self.tags: dict[int, str] = {}
-        self.tag, self.watching, self.watch_at = 0, not cfg.must_ask, now
+        self.tag, self.watching, self.watch_at = 1, not cfg.must_ask, now
+        self.swept = False  # whether a sweep is due
         self.actions: list[api.Action] = []
 
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
-        self.now, self.actions, sweep = now, [], not self.tag
-        self.tag += sweep
+        self.now, self.actions, sweep = now, [], not self.nodes
         for event in events:
             if isinstance(event, api.Request):
                 self.take(event)
@@ -230,7 +250,8 @@
             elif isinstance(event, api.NodeList):
                 self.listed(event)
             elif isinstance(event, api.TimerFired):
-                sweep = sweep or not event.tag
+                if not event.tag:
+                    sweep, self.swept = True, False
                 held = self.requests.get(self.tags.pop(event.tag, ""))
                 if held and not held.done and not held.out:
                     self.close(held)
@@ -238,9 +259,13 @@
                 self.finish(self.requests[event.request])
         if sweep:
             self.sweep()
-        for shard in sorted(self.queues if sweep else self.dirty):
-            self.dispatch(shard)
+        for number in sorted(self.waiting if sweep else self.dirty & self.waiting):
+            self.dispatch(self.shards[number])
         self.dirty.clear()
+        # Nothing held, nothing out and the list at hand: only an event can change anything.
+        if not self.swept and (self.requests or not self.watching):
+            self.swept = True
+            self.actions.append(api.SetTimer(0, SWEEP_MS))
         return self.actions
 
     def listed(self, news: api.NodeList) -> None:
@@ -253,16 +278,18 @@
             for view in self.nodes.values():
                 view.ready = False
         for entry in news.nodes:
-            view = self.nodes.setdefault(entry.name, NodeView(entry, self.now, self.cfg.gateways))
+            view = self.nodes.get(entry.name) or NodeView(entry, self.now, self.cfg.gateways)
+            self.shard(view.shard).nodes.pop(view.name, None)
             view.ready, view.shard = entry.state is api.NodeState.READY, entry.shard
+            self.nodes[view.name] = self.shard(view.shard).nodes[view.name] = view
+            self.dirty.add(view.shard)
             if entry.started_ms and entry.started_ms > view.born:
                 view.start(entry.started_ms, self.now)
                 view.window = Window(self.now, self.cfg.gateways)
+        self.open = sorted(number for number, shard in self.shards.items() if shard.node())
 
-    def node_of(self, shard: int) -> NodeView | None:
-        """The node that serves a shard now; of several, the one that came up last."""
-        ready = [n for n in self.nodes.values() if n.ready and n.shard == shard]
-        return max(ready, key=lambda n: (n.lost is None, n.born), default=None)
+    def shard(self, number: int) -> Shard:
+        return self.shards.setdefault(number, Shard(number))
 
     def take(self, request: api.Request) -> None:
         kind, now = self.kinds[request.class_name], self.now
@@ -287,21 +314,23 @@
     def place(self, held: Held) -> None:
         """Queue a request at its shard; a new object where it is expected to be served soonest."""
         if held.request.shard < 0 and held.maybe is None:
-            shards = sorted({n.shard for n in self.nodes.values() if n.ready})
-            held.shard = min(shards, key=self.wait_at, default=-1)
-        self.queues.setdefault(held.shard, {})[held.request.id] = held
+            some = self.random.sample(self.open, len(self.open))  # in any order: ties must not make a herd
+            held.shard = min(some, key=self.wait_at, default=-1)
+        self.shard(held.shard).queue[held.request.id] = held
+        self.waiting.add(held.shard)
         self.dirty.add(held.shard)
 
-    def wait_at(self, shard: int) -> float:
+    def wait_at(self, number: int) -> float:
         """How long a new object would wait at a shard, in ordinary latencies; a cold one won't do."""
-        node = self.node_of(shard)
+        shard = self.shards[number]
+        node = shard.node()
         if node is None or node.lost is not None or self.now - node.born < self.cfg.warm_after_ms:
             return self.longest
-        return (1 + (len(self.queues.get(shard, ())) + len(node.out)) / node.window.size) * node.window.short
+        return (1 + (len(shard.queue) + len(node.out)) / node.window.size) * node.window.short
 
     def finish(self, held: Held) -> None:
         held.done = True
-        self.queues.get(held.shard, {}).pop(held.request.id, None)
+        self.shard(held.shard).queue.pop(held.request.id, None)
         if not held.out:
             self.requests.pop(held.request.id, None)
             if held.kind.in_order and held in self.turns.get(held.request.key, ()):
@@ -343,6 +372,8 @@
         )  # counts with its age
         if outcome is Outcome.SERVED or late:
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
+            calm = [NODE_PART * k.aim_ms / self.cost[k.name] / self.cfg.mean_units for k in self.cfg.classes]
+            node.window.step(self.now, min(calm))
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
@@ -372,23 +403,23 @@
 
     def sweep(self) -> None:
         cfg, now = self.cfg, self.now
-        self.actions.append(api.SetTimer(0, SWEEP_MS))
-        self.refused = {key: at for key, at in self.refused.items() if now - at < self.longest}
+        while self.refused and now - self.refused[next(iter(self.refused))] > self.longest:
+            del self.refused[next(iter(self.refused))]
         self.rest = {key: until for key, until in self.rest.items() if until > now}
         self.turns = {key: turns for key, turns in self.turns.items() if turns}
         if not self.watching and now >= self.watch_at:
             self.actions.append(api.WatchList())
             self.watch_at = now + 4 * WATCH_RETRY_MS
-        calm = [NODE_PART * k.aim_ms / self.cost[k.name] / cfg.mean_units for k in cfg.classes]
-        for node in self.nodes.values():
-            node.window.step(now, min(calm))
-            oldest = min((sent for sent, _ in node.out.values()), default=now)
-            if node.lost is None and now - max(node.heard, oldest) > self.silence:
-                self.suspect(node)
-        self.flow = {shard: flow * 0.5 ** (SWEEP_MS / FLOW_MS) for shard, flow in self.flow.items()}
-        for shard, queue in self.queues.items():
-            for name, head in {held.kind.name: held for held in reversed(queue.values())}.items():
-                codel = self.codels.setdefault((shard, name), CoDel(head.kind.aim_ms))
+        for held in list(self.requests.values()):
+            if held.out:
+                node, sent = held.sent[-1]
+                if node.lost is None and now - max(node.heard, sent) > self.silence:
+                    self.suspect(node)
+        self.waiting = {number for number in self.waiting if self.shards[number].queue}
+        for number in sorted(self.waiting):
+            shard = self.shards[number]
+            for name, head in {held.kind.name: held for held in reversed(shard.queue.values())}.items():
+                codel = shard.codels.setdefault(name, CoDel(head.kind.aim_ms))
                 if codel.drops(now, now - head.at) and head.refusable:
                     self.close(head, cfg.max_retry_after_ms)
 
@@ -415,9 +446,9 @@
             return self.budget.allows(now)
         return not held.volume.plan.limit or held.volume.limit >= held.request.units
 
-    def dispatch(self, shard: int) -> None:
+    def dispatch(self, shard: Shard) -> None:
         """Send the most valuable held requests of a shard while its node has room."""
-        queue, node, now = self.queues.get(shard, {}), self.node_of(shard), self.now
+        queue, node, now = shard.queue, shard.node(), self.now
         for held in [h for h in queue.values() if h.request.shard < 0 and (node is None or node.lost)]:
             del queue[held.request.id]
             self.place(held)
@@ -429,13 +460,14 @@
             volume.refill(now)
         for held in sorted(queue.values(), key=lambda h: (-self.value(h, node), h.aim)):
             if node.room(now, held.kind, self.shares) and self.eligible(held, node):
-                if not node.bears(self.cfg, now, held.request.units, self.flow.get(shard, 0.0)):
+                if not node.bears(self.cfg, now, held.request.units, shard.flowed(now, 0.0)):
                     return
+                shard.flowed(now, held.request.units)
                 self.send(held, node)
 
     def send(self, held: Held, node: NodeView) -> None:
         now, request, volume = self.now, held.request, held.volume
-        del self.queues[held.shard][request.id]
+        del self.shards[held.shard].queue[request.id]
         if len(held.sent) > held.moot:
             self.budget.extra.append(now)
         else:
@@ -446,7 +478,6 @@
             volume.limit -= request.units
             volume.own += request.units * 0.693 * 1000 / RATE_MS
         node.credit -= request.units
-        self.flow[held.shard] = self.flow.get(held.shard, 0.0) + request.units * 693 / FLOW_MS
         node.out[(request.id, len(held.sent))] = (now, held.kind.name)
         node.window.peak = max(node.window.peak, len(node.out))
         held.sent.append((node, now))
