A window is scaled by the gateways that share its node's volumes

Windows of 4 at dozens of gateways drowned nodes of 2 cores. Start, floor, ceiling, step and samples now follow the largest gateway count of the volumes seen at the shard.

--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -14,7 +14,7 @@
 
 # Gradient2: the window of requests out at one node.
 START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
-POOL_FLOOR = 6.0  # requests at a node at which all gateways' floors together may end: a few cores
+FEW = 3.0  # gateways at a node that may each go by these figures; more of them share what so many have
 INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
@@ -38,9 +38,9 @@
 class Window:
     """Gradient2: how many requests may be out at a node, learnt from the latency of served attempts."""
 
-    def __init__(self, now: float, gateways: int) -> None:
-        self.floor = min(FLOOR, POOL_FLOOR / gateways)
-        self.size, self.peak, self.due, self.samples = START, 0, now + INTERVAL_MS, 0
+    def __init__(self, now: float, crowd: float) -> None:
+        self.crowd = crowd  # gateways likely at this node, over a few
+        self.size, self.peak, self.due, self.samples = START / crowd, 0, now + INTERVAL_MS, 0
         self.latency = self.expected = self.long = 0.0
         self.short = 1.0  # latency over expected work, so that big requests do not read as overload
 
@@ -53,16 +53,16 @@
         self.samples += 1
 
     def step(self, now: float, normal: float) -> None:
-        if now < self.due or self.samples < MIN_SAMPLES:
+        if now < self.due or self.samples < MIN_SAMPLES / self.crowd:
             return
         # Guards against congestion learnt as normal, from whatever cause. It hurts where a node is slow for
         # good: its window stays at the floor, though nothing stands behind its latency.
         self.long = min(self.long, normal)
         gradient = min(1.0, max(CLAMP, TOLERANCE * self.long / self.short))
         # The root step fades with the gradient: at a window of 4 it would otherwise outweigh the deepest cut.
-        step = self.size**0.5 * (gradient - CLAMP) / (1 - CLAMP) if 2 * self.peak >= self.size else 0.0
-        self.size += SMOOTHING * (self.size * gradient + step - self.size)
-        self.size = min(CEILING, max(self.floor, self.size))
+        step = (self.size / self.crowd) ** 0.5 * (gradient - CLAMP) / (1 - CLAMP)
+        self.size += SMOOTHING * (self.size * gradient + step * (2 * self.peak >= self.size) - self.size)
+        self.size = min(CEILING / self.crowd, max(FLOOR / self.crowd, self.size))
         self.due, self.samples, self.peak = now + INTERVAL_MS, 0, 0
 
 
@@ -150,9 +150,9 @@
 class NodeView:
     """What this gateway knows of a node: the list's word, its window, its health and its warm-up."""
 
-    def __init__(self, entry: api.Node, now: float, gateways: int) -> None:
+    def __init__(self, entry: api.Node, now: float, crowd: float) -> None:
         self.name, self.shard, self.zone, self.ready = entry.name, entry.shard, entry.zone, False
-        self.window, self.heard, self.born = Window(now, gateways), now, -1e18
+        self.window, self.heard, self.born = Window(now, crowd), now, -1e18
         self.out: dict[tuple[str, int], tuple[float, str]] = {}
         self.lost: float | None = None  # since when it has been suspect
         self.restarted = False  # a failed connection was seen since
@@ -198,7 +198,7 @@
     def __init__(self, number: int) -> None:
         self.number, self.nodes, self.queue = number, dict[str, NodeView](), dict[str, Held]()
         self.codels: dict[str, CoDel] = {}
-        self.flow, self.at = 0.0, 0.0
+        self.flow, self.at, self.crowd = 0.0, 0.0, 1.0
 
     def node(self) -> NodeView | None:
         """The node that serves it now; of several, the one that came up last."""
@@ -278,14 +278,14 @@
             for view in self.nodes.values():
                 view.ready = False
         for entry in news.nodes:
-            view = self.nodes.get(entry.name) or NodeView(entry, self.now, self.cfg.gateways)
+            view = self.nodes.get(entry.name) or NodeView(entry, self.now, self.shard(entry.shard).crowd)
             self.shard(view.shard).nodes.pop(view.name, None)
             view.ready, view.shard = entry.state is api.NodeState.READY, entry.shard
             self.nodes[view.name] = self.shard(view.shard).nodes[view.name] = view
             self.dirty.add(view.shard)
             if entry.started_ms and entry.started_ms > view.born:
                 view.start(entry.started_ms, self.now)
-                view.window = Window(self.now, self.cfg.gateways)
+                view.window = Window(self.now, view.window.crowd)
         self.open = sorted(number for number, shard in self.shards.items() if shard.node())
 
     def shard(self, number: int) -> Shard:
@@ -316,7 +316,14 @@
         if held.request.shard < 0 and held.maybe is None:
             some = self.random.sample(self.open, len(self.open))  # in any order: ties must not make a herd
             held.shard = min(some, key=self.wait_at, default=-1)
-        self.shard(held.shard).queue[held.request.id] = held
+        shard = self.shard(held.shard)
+        shard.queue[held.request.id] = held
+        crowd = max(shard.crowd, held.request.gateways / FEW)
+        if crowd > shard.crowd:
+            for node in shard.nodes.values():
+                node.window.size *= shard.crowd / crowd
+                node.window.crowd = crowd
+        shard.crowd = crowd
         self.waiting.add(held.shard)
         self.dirty.add(held.shard)
 
@@ -377,7 +384,7 @@
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
-            node.window.size = max(node.window.floor, node.window.size * CLAMP)
+            node.window.size = max(FLOOR / node.window.crowd, node.window.size * CLAMP)
         elif outcome in (Outcome.TIMED_OUT, Outcome.DIAL_FAILED, Outcome.RESET):
             node.restarted = node.restarted or outcome is Outcome.DIAL_FAILED
             self.suspect(node)
@@ -398,7 +405,7 @@
         # partition healed: the node was warm all along.
         if self.now - (node.lost or self.now) > (self.silence if node.restarted else self.longest):
             node.start(self.now, self.now)
-        node.lost, node.restarted, node.window.size = None, False, min(node.window.size, START)
+        node.lost, node.restarted, node.window.size = None, False, min(node.window.size, START / node.window.crowd)
         self.actions.append(api.Log(f"{node.name} answers again"))
 
     def sweep(self) -> None:
