--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -14,7 +14,7 @@
 
 # Gradient2: the window of requests out at one node.
 START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
-FEW = 3.0  # gateways at a node that may each go by these figures; more of them share what so many have
+FEW = 1.0  # gateways at a node that may each go by these figures; more of them share what so many have
 INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
