What is inside its reserve does not wait out the pause of a window under 1

A gateway with rare requests to a congested node held them for its whole pause, though their worth is full.

--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -178,18 +178,20 @@
         self.credit, self.credit_at = min(part * COLD_BURST, self.credit + grown), now
         return self.credit >= min(units, part * COLD_BURST)  # a larger one waits for all, and overdraws
 
-    def room(self, now: float, kind: api.RequestClass, shares: dict[str, float]) -> bool:
+    def room(self, now: float, held: Held, shares: dict[str, float]) -> bool:
         """Room in the window; a full one still takes a class that is under its firm share of it."""
         if self.lost is not None:
             return now >= self.trial
         # Guards against many gateways at one node, each with its one request: a window under 1 is kept by
         # waiting after each answer. It hurts where this gateway is alone there, until the window has grown.
         if self.window.size < 1:
+            if held.volume.reserve > 0:
+                return not self.out
             return not self.out and now - self.heard >= self.window.latency * (1 / self.window.size - 1)
         if len(self.out) < int(self.window.size):
             return True
-        mine = sum(name == kind.name for _, name in self.out.values())
-        return mine < int(self.window.size * shares[kind.name]) and len(self.out) < CEILING
+        mine = sum(name == held.kind.name for _, name in self.out.values())
+        return mine < int(self.window.size * shares[held.kind.name]) and len(self.out) < CEILING
 
 
 class Shard:
@@ -459,14 +461,14 @@
         for held in [h for h in queue.values() if h.request.shard < 0 and (node is None or node.lost)]:
             del queue[held.request.id]
             self.place(held)
-        if node is None or not any(node.room(now, kind, self.shares) for kind in self.cfg.classes):
+        if node is None or (node.out and node.window.size < 1):
             return
         keep, node.used_at = 0.5 ** ((now - node.used_at) / RATE_MS), now
         node.used = {name: use * keep for name, use in node.used.items() if use * keep > 0.05}
         for volume in {h.request.volume: h.volume for h in queue.values()}.values():
             volume.refill(now)
         for held in sorted(queue.values(), key=lambda h: (-self.value(h, node), h.aim)):
-            if node.room(now, held.kind, self.shares) and self.eligible(held, node):
+            if node.room(now, held, self.shares) and self.eligible(held, node):
                 if not node.bears(self.cfg, now, held.request.units, shard.flowed(now, 0.0)):
                     return
                 shard.flowed(now, held.request.units)
