--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -185,7 +185,7 @@
         # Guards against many gateways at one node, each with its one request: a window under 1 is kept by
         # waiting after each answer. It hurts where this gateway is alone there, until the window has grown.
         if self.window.size < 1:
-            if held.volume.reserve > 0:
+            if held.volume.reserve > 0 and self.window.latency < held.aim - now:
                 return not self.out
             return not self.out and now - self.heard >= self.window.latency * (1 / self.window.size - 1)
         if len(self.out) < int(self.window.size):
