--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -13,7 +13,7 @@
 
 # Gradient2: the window of requests out at one node.
 START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
-FEW = 2  # other gateways at a volume that do not count: so few drown no node
+FEW = 3  # gateways at a volume that may each go by these figures: so few drown no node
 INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
@@ -45,7 +45,7 @@
     def share(self, gateways: int) -> None:
         # Guards against many gateways at one node, each with few requests, counted by the volume that works
         # through most. It hurts where the others are idle, until the window has grown.
-        crowd = max(self.crowd, gateways - FEW)
+        crowd = max(self.crowd, gateways if gateways > FEW else 1.0)
         self.size, self.crowd = self.size * self.crowd / crowd, crowd
 
     def sample(self, latency: float, expected: float) -> None:
