--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -64,8 +64,11 @@
         self.long = min(self.long, normal)
         gradient = min(1.0, max(CLAMP, TOLERANCE * self.long / self.short))
         # The root step fades with the gradient: at a window of 4 it would otherwise outweigh the deepest cut.
-        step = (self.size / self.crowd) ** 0.5 * (gradient - CLAMP) / (1 - CLAMP)
-        self.size += SMOOTHING * (self.size * gradient + step * (2 * self.peak >= self.size) - self.size)
+        step = (
+            (self.size / self.crowd) ** 0.5 * (gradient - CLAMP) / (1 - CLAMP) * (2 * self.peak >= self.size)
+        )
+        gain = SMOOTHING ** (1 / self.crowd)  # where many share a node steps are rare: more of each at once
+        self.size += gain * (self.size * gradient + step - self.size)
         self.size = min(CEILING / self.crowd, max(FLOOR / self.crowd, self.size))
         self.due, self.samples, self.peak = now + INTERVAL_MS, 0, 0
 
@@ -347,8 +350,7 @@
             node.heard = self.now
             if node.lost is not None:
                 self.recovered(node)
-        # Of a node that answers others a time-out counts with its age.
-        late = outcome is Outcome.TIMED_OUT and held.sent[event.attempt][1] <= node.heard
+        late = outcome is Outcome.TIMED_OUT and held.sent[event.attempt][1] <= node.heard  # with its age
         if outcome is Outcome.SERVED or late:
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             calm = [NODE_PART * k.aim_ms / self.cost[k.name] / self.cfg.mean_units for k in self.cfg.classes]
