--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -64,11 +64,9 @@
         self.long = min(self.long, normal)
         gradient = min(1.0, max(CLAMP, TOLERANCE * self.long / self.short))
         # The root step fades with the gradient: at a window of 4 it would otherwise outweigh the deepest cut.
-        step = (
-            (self.size / self.crowd) ** 0.5 * (gradient - CLAMP) / (1 - CLAMP) * (2 * self.peak >= self.size)
-        )
+        fade = (gradient - CLAMP) / (1 - CLAMP) * (2 * self.peak >= self.size)
         gain = SMOOTHING ** (1 / self.crowd)  # where many share a node steps are rare: more of each at once
-        self.size += gain * (self.size * gradient + step - self.size)
+        self.size += gain * (self.size * gradient + fade * (self.size / self.crowd) ** 0.5 - self.size)
         self.size = min(CEILING / self.crowd, max(FLOOR / self.crowd, self.size))
         self.due, self.samples, self.peak = now + INTERVAL_MS, 0, 0
 
