--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -182,20 +182,44 @@
         assert sum(units for when, units in sent if when <= at) <= 5.0 * (at - start) / 1000 + 0.001
 
 
+@pytest.mark.parametrize("gateways", [1, 6, 250])
+def test_the_sum_over_all_gateways_keeps_a_volumes_limit(gateways):
+    plan = api.Plan("capped", 1.0, 1.0, 3.0, 0.0, limit=400.0, limit_burst=16.0 * gateways)
+    sent: list[tuple[float, float]] = []
+    for index in range(gateways):
+        one = Gateway(seed=index, gateways=gateways, index=index, plans=(plan,))
+        start = one.now
+        one.nodes()
+        for at in range(12):
+            one.ask(f"r{at}", plan="capped", units=float(1 + at % 3), gateways=gateways)
+            one.run(150.0)
+            for held in list(one.scheduler.requests.values()):
+                if held.out:
+                    sent.append((held.sent[-1][1], held.request.units))
+                    one.end(held.request.id, Outcome.SERVED)
+    assert sent
+    for at, _ in sent:
+        assert sum(units for when, units in sent if when <= at) <= 400.0 * (at - start) / 1000 + 0.001
+
+
 EVENTS = st.one_of(
     st.tuples(st.just("ask"), st.sampled_from(["read", "write", "once", "turns"]), st.integers(-1, 2)),
     st.tuples(st.just("end"), st.sampled_from(list(Outcome)), st.integers(0, 40)),
     st.tuples(st.just("gone"), st.integers(0, 60), st.just(0)),
     st.tuples(st.just("wait"), st.integers(0, 900), st.just(0)),
     st.tuples(st.just("list"), st.sampled_from(list(NodeState)), st.integers(0, 1)),
-    st.tuples(st.just("odd"), st.sampled_from(["end", "timer", "first", "failed"]), st.integers(0, 9)),
+    st.tuples(
+        st.just("odd"),
+        st.sampled_from(["end", "timer", "first", "failed", "peer", "probe", "stale"]),
+        st.integers(0, 9),
+    ),
 )
 
 
 @settings(max_examples=60)
-@given(st.lists(EVENTS, max_size=120))
-def test_any_sequence_gives_each_request_one_answer_and_keeps_the_repeat_rule(steps):
-    gateway = Gateway()
+@given(st.lists(EVENTS, max_size=120), st.integers(0, 2**31))
+def test_any_sequence_gives_each_request_one_answer_and_keeps_the_repeat_rule(steps, seed):
+    gateway = Gateway(seed=seed)
     gateway.nodes()
     kinds: dict[str, str] = {}
     gone: set[str] = set()
@@ -237,6 +261,9 @@
                         "timer": api.TimerFired(10_000 + second),
                         "first": api.StreamStarted("unheard of", 0),
                         "failed": api.NodeList(api.ListKind.FAILED),
+                        "peer": api.PeerMessage(10_000 + second, b"\xff" * second),
+                        "probe": api.ProbeEnded("no such node", Outcome.SERVED, -1.0, (-5.0, 1e9)),
+                        "stale": api.ClientGone(f"r{second + 9000}"),
                     }[first]
                 )
         for _, send in gateway.sends[before:]:
