--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -13,7 +13,8 @@
 
 # Gradient2: the window of requests out at one node.
 START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
-FEW = 3  # gateways at a volume that may each go by these figures: so few drown no node
+FEW = 6  # gateways in all that may each go by these figures: so few drown no node
+SHARED_FLOOR = 0.12  # with more: a node has several volumes, and only the largest one's gateways are counted
 INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
@@ -27,17 +28,18 @@
 
 SILENT_AIMS = 2.0  # silence past this many of the shortest aims, with work out, makes a node suspect
 TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
+COLD_PART = 0.5  # of the rule's multiple is used for the flow a shard had: its new node may be smaller
 COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
 WATCH_RETRY_MS, WATCH_MAX_MS = 500.0, 8000.0  # after a failed list call, doubling: one service serves all
-RATE_MS = 1500.0  # half-life, near the second that plans count in
+RATE_MS, FLOW_MS = 1500.0, 15000.0  # half-lives: near the second that plans count in; of a shard's flow
 
 
 class Window:
     """Gradient2: how many requests may be out at a node, learnt from the latency of served attempts."""
 
     def __init__(self, now: float) -> None:
-        self.crowd = 1.0  # gateways that share its figures
+        self.crowd, self.floor = 1.0, FLOOR  # gateways that share its figures
         self.size, self.peak, self.due, self.samples = START, 0, now + INTERVAL_MS, 0
         self.latency = self.expected = self.long = 0.0
         self.short = 1.0  # latency over expected work, so that big requests do not read as overload
@@ -45,8 +47,11 @@
     def share(self, gateways: int) -> None:
         # Guards against many gateways at one node, each with few requests, counted by the volume that works
         # through most. It hurts where the others are idle, until the window has grown.
-        crowd = max(self.crowd, gateways if gateways > FEW else 1.0)
+        crowd = max(self.crowd, gateways)
         self.size, self.crowd = self.size * self.crowd / crowd, crowd
+        # Guards against a jam that the floors of many windows keep up when nodes slow down or die, demand
+        # jumps, or latency rises from any other cause. It hurts where a node is slow but idle: rare trials.
+        self.floor = SHARED_FLOOR / crowd
 
     def sample(self, latency: float, expected: float) -> None:
         gain = SHORT_GAIN if self.expected else 1.0
@@ -67,7 +72,7 @@
         fade = (gradient - CLAMP) / (1 - CLAMP) * (2 * self.peak >= self.size)
         gain = SMOOTHING ** (1 / self.crowd)  # where many share a node steps are rare: more of each at once
         self.size += gain * (self.size * gradient + fade * (self.size / self.crowd) ** 0.5 - self.size)
-        self.size = min(CEILING / self.crowd, max(FLOOR / self.crowd, self.size))
+        self.size = min(CEILING / self.crowd, max(self.floor, self.size))
         self.due, self.samples, self.peak = now + INTERVAL_MS, 0, 0
 
 
@@ -169,13 +174,17 @@
         """Be cold; what others sent a moment ago is not known, so nothing is saved up."""
         self.born, self.credit, self.credit_at, self.lost, self.phase = born, 0.0, now, None, phase
 
-    def bears(self, cfg: api.Settings, now: float, units: float) -> bool:
+    def bears(self, cfg: api.Settings, now: float, units: float, flow: float) -> bool:
         """Whether a node may be sent so much: a cold one has this gateway's part of the rule's units."""
         age = max(0.0, now - self.born)
         if not cfg.fall_window_ms or age >= cfg.warm_after_ms:
             return True
         able = cfg.cold_from + (1 - cfg.cold_from) * age / cfg.warm_after_ms
-        part = able * cfg.cold_units / cfg.gateways / cfg.cold_from
+        # Guards against power that stands idle long after it is back: an even part of the stated units is
+        # next to nothing where few of many gateways use the node. What each was served there adds up to no
+        # more than its shard could do. It hurts where the successor is less than half as strong.
+        learnt = COLD_PART * cfg.fall_multiple * flow * cfg.fall_window_ms / 1000
+        part = able * max(cfg.cold_units / cfg.gateways / cfg.cold_from, learnt)
         grown = part * (1 - COLD_BURST) * (now - self.credit_at) / cfg.fall_window_ms
         # One larger than the part overdraws, at a moment spread over the time that the part needs for it, or
         # all gateways that hear of a start would do so at once.
@@ -204,6 +213,21 @@
     def __init__(self) -> None:
         self.nodes, self.queue = dict[str, NodeView](), dict[str, Held]()
         self.codels = dict[str, CoDel]()
+        self.bare: float | None = -1e18  # since when it has no ready node
+        self.units = self.span = self.at = (
+            0.0  # served to this gateway by warm nodes, and in what time; fading
+        )
+
+    def served(self, now: float, units: float, warm: bool) -> None:
+        if warm and self.at:
+            fade = 0.5 ** ((now - self.at) / FLOW_MS)
+            self.units, self.span = self.units * fade + units, self.span * fade + now - self.at
+        self.at = now
+
+    @property
+    def flow(self) -> float:
+        """Units a second that this gateway was served; over a short time only a part of it counts."""
+        return 1000 * self.units / max(self.span, FLOW_MS / 3)
 
     def node(self) -> NodeView | None:
         """The node that serves it now; of several, the one that came up last."""
@@ -278,6 +302,9 @@
             if entry.started_ms and entry.started_ms > view.born:
                 view.start(entry.started_ms, self.now, self.random.random())
                 view.window = Window(self.now)
+        for shard in self.shards.values():
+            ready = any(node.ready for node in shard.nodes.values())
+            shard.bare = None if ready else self.now if shard.bare is None else shard.bare
 
     def take(self, request: api.Request) -> None:
         kind, now = self.kinds[request.class_name], self.now
@@ -288,8 +315,10 @@
         held = self.requests[request.id] = Held(request, kind, volume, now)
         left = max(0.0, request.left_ms - 2 * self.cfg.tick_ms)  # a little early: the answer is owed by then
         held.end = now + left
-        # A client's second try counts from its first. Its time left does not tell: clients may be in a hurry.
-        held.first = self.refused.pop((request.volume, request.key), now)
+        # A client's second try counts from its first. A short time left does not tell it: clients may be in
+        # a hurry; but what lasts longer than the first try could is somebody else's, for the same key.
+        first = self.refused.pop((request.volume, request.key), now)
+        held.first = first if now + request.left_ms <= first + kind.deadline_ms else now
         held.aim = min(held.first + kind.aim_ms, held.end)
         self.budget.taken.append(now)
         self.tag += 1
@@ -300,7 +329,8 @@
     def place(self, held: Held) -> None:
         """Queue a request at its shard; a new object where it is expected to be served soonest."""
         if held.request.shard < 0 and held.maybe is None:
-            nodes = [n for n in self.nodes.values() if n.ready and n.lost is None]
+            ready = [n for n in self.nodes.values() if n.ready]
+            nodes = [n for n in ready if n.lost is None] or ready
             # Of two at random: with the least of all, gateways that know alike would make a herd.
             two = self.random.sample(nodes, min(2, len(nodes)))
             warm = self.now - self.cfg.warm_after_ms
@@ -308,7 +338,7 @@
             held.shard = best.shard if best else -1
         shard = self.shards[held.shard]
         shard.queue[held.request.id] = held
-        for node in shard.nodes.values():
+        for node in shard.nodes.values() if self.cfg.gateways > FEW else ():
             node.window.share(held.request.gateways)
         self.waiting.add(held.shard)
 
@@ -318,8 +348,9 @@
         if not held.out:
             self.requests.pop(held.request.id, None)
 
-    def close(self, held: Held, retry_after: float = 0.0) -> None:
-        answer = api.Refuse(held.request.id, retry_after) if held.refusable else api.Fail(held.request.id)
+    def close(self, held: Held) -> None:
+        refusal = api.Refuse(held.request.id, self.cfg.max_retry_after_ms)
+        answer = refusal if held.refusable else api.Fail(held.request.id)
         self.actions.append(answer)
         self.refused[held.request.volume, held.request.key or held.request.id] = held.first
         self.finish(held)
@@ -334,10 +365,9 @@
             held.maybe = held.sent[event.attempt]
         if held.kind.in_order and outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED):
             self.rest[held.request.key] = self.now + self.cfg.settle_ms
-        over = self.now >= held.end or len(held.sent) >= self.cfg.max_attempts
         if held.done or event.closed:
             self.finish(held)
-        elif over or outcome is Outcome.TIMED_OUT or not held.may_go_to(node, self.now):
+        elif outcome is Outcome.TIMED_OUT:
             self.close(held)
         else:
             self.place(held)
@@ -349,6 +379,8 @@
             if node.lost is not None:
                 self.recovered(node)
         late = outcome is Outcome.TIMED_OUT and held.sent[event.attempt][1] <= node.heard  # with its age
+        if outcome is Outcome.SERVED:
+            self.shards[node.shard].served(self.now, units, self.now - node.born >= self.cfg.warm_after_ms)
         if outcome is Outcome.SERVED or late:
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             calm = [NODE_PART * k.aim_ms / self.cost[k.name] / self.cfg.mean_units for k in self.cfg.classes]
@@ -356,7 +388,7 @@
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
-            node.window.size = max(FLOOR / node.window.crowd, node.window.size * CLAMP)
+            node.window.size = max(node.window.floor, node.window.size * CLAMP)
         elif outcome in (Outcome.TIMED_OUT, Outcome.DIAL_FAILED):  # a reset may be an answer lost on the way
             node.restarted = node.restarted or outcome is Outcome.DIAL_FAILED
             self.suspect(node)
@@ -382,7 +414,7 @@
         self.actions.append(api.Log(f"{node.name} answers again"))
 
     def sweep(self) -> None:
-        cfg, now = self.cfg, self.now
+        now = self.now
         self.refused = {key: at for key, at in self.refused.items() if now - at < self.longest}
         self.rest = {key: until for key, until in self.rest.items() if until > now}
         if not self.watching and now >= self.watch_at:
@@ -391,13 +423,15 @@
         for node, sent in [held.sent[-1] for held in self.requests.values() if held.out]:
             if node.lost is None and now - max(node.heard, sent) > self.silence:
                 self.suspect(node)
-        self.waiting = {number for number in self.waiting if self.shards[number].queue}
+        for number in [number for number in self.waiting if not self.shards[number].queue]:
+            self.shards[number].codels.clear()  # nothing stands there
+            self.waiting.remove(number)
         for number in sorted(self.waiting):
             shard = self.shards[number]
             for name, head in {held.kind.name: held for held in reversed(shard.queue.values())}.items():
                 codel = shard.codels.setdefault(name, CoDel(head.kind.aim_ms))
                 if codel.drops(now, now - head.at) and head.refusable:
-                    self.close(head, cfg.max_retry_after_ms)
+                    self.close(head)
 
     def value(self, held: Held, node: NodeView) -> float:
         """Worth to be earned for each unit of node time: in the reserve, in the share, or beyond."""
@@ -416,16 +450,43 @@
         if waits:  # for the first of its key, in the order taken
             first = next(h for h in self.requests.values() if h.kind.in_order and h.request.key == key)
             waits = first is not held or now < self.rest.get(key, now)
-        # Guards against clients in a hurry: what cannot be done in its time left only takes others' time.
-        hopeless = now + self.cost[held.kind.name] * held.request.units >= held.end
-        if waits or hopeless or not held.may_go_to(node, now):
+        if waits or not held.may_go_to(node, now):
             return False
         if held.sent:
             return self.budget.allows(now)
         return not held.volume.plan.limit or held.volume.limit >= held.request.units
 
+    def hopeless(self, held: Held, shard: Shard) -> bool:
+        """Whether waiting can earn no more. What is given up on is answered at once."""
+        now, cfg, volume, nodes = (
+            self.now,
+            self.cfg,
+            held.volume,
+            [n for n in shard.nodes.values() if n.ready],
+        )
+        # Guards against clients in a hurry: what cannot be done in its time left only takes others' time.
+        spent = (
+            len(held.sent) >= cfg.max_attempts
+            or now + self.cost[held.kind.name] * held.request.units >= held.end
+        )
+        if held.volume.plan.limit and not held.sent:
+            fills = (held.request.units - volume.limit) * volume.gateways / volume.plan.limit * 1000
+            spent = spent or now + fills >= held.end
+        if held.request.shard < 0 and held.maybe is None:
+            return spent or not any(node.ready for node in self.nodes.values())
+        # Guards against shards whose node is gone for long: one is expected to stay away for as long again.
+        # It hurts where the successor comes just then; the client is told to come back.
+        if shard.bare is not None:
+            return spent or now - shard.bare >= held.aim - now
+        codel = shard.codels.get(held.kind.name)
+        # Guards against node time for what is late already, while a queue stands for want of it.
+        stale = codel is not None and codel.count > 0 and now >= held.aim and held.refusable
+        return spent or stale or not any(held.may_go_to(node, now) for node in nodes)
+
     def dispatch(self, shard: Shard) -> None:
         """Send the most valuable held requests of a shard while its node has room."""
+        for held in [h for h in shard.queue.values() if self.hopeless(h, shard)]:
+            self.close(held)
         queue, node, now = shard.queue, shard.node(), self.now
         for held in [h for h in queue.values() if h.request.shard < 0 and (node is None or node.lost)]:
             del queue[held.request.id]
@@ -436,7 +497,7 @@
             return
         for held in sorted(queue.values(), key=lambda h: (-self.value(h, node), h.aim)):
             if node.room(now, held, self.shares) and self.eligible(held, node):
-                if not node.bears(self.cfg, now, held.request.units):
+                if not node.bears(self.cfg, now, held.request.units, shard.flow):
                     return
                 self.send(held, node)
 
