--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -13,8 +13,7 @@
 
 # Gradient2: the window of requests out at one node.
 START, FLOOR, CEILING = 4.0, 1.0, 16.0  # several; one keeps latency heard; half the design's top
-FEW = 6  # gateways in all that may each go by these figures: so few drown no node
-SHARED_FLOOR = 0.12  # with more: a node has several volumes, and only the largest one's gateways are counted
+FEW = 6  # gateways that may each go by these figures: with more, all their floors end at so many requests
 INTERVAL_MS, MIN_SAMPLES = 500.0, 3  # of a step: some ten service times, and enough to judge by
 SHORT_GAIN, LONG_GAIN = 0.15, 0.01  # averages over some 7 answers, and over some 100
 TOLERANCE = 1.25  # a rise of the short average that still counts as noise
@@ -44,14 +43,13 @@
         self.latency = self.expected = self.long = 0.0
         self.short = 1.0  # latency over expected work, so that big requests do not read as overload
 
-    def share(self, gateways: int) -> None:
-        # Guards against many gateways at one node, each with few requests, counted by the volume that works
-        # through most. It hurts where the others are idle, until the window has grown.
-        crowd = max(self.crowd, gateways)
+    def share(self, gateways: int, fleet: int) -> None:
+        # Guards against many gateways at one node, each with few requests: against a jam that their windows
+        # keep up when nodes slow down or die, demand jumps, or latency rises from any other cause. A volume's
+        # gateways tell who is likely to send. It hurts where the others are idle, until the window has grown.
+        crowd = max(self.crowd, min(gateways, fleet / FEW))
         self.size, self.crowd = self.size * self.crowd / crowd, crowd
-        # Guards against a jam that the floors of many windows keep up when nodes slow down or die, demand
-        # jumps, or latency rises from any other cause. It hurts where a node is slow but idle: rare trials.
-        self.floor = SHARED_FLOOR / crowd
+        self.floor = FLOOR / max(1.0, fleet / FEW)
 
     def sample(self, latency: float, expected: float) -> None:
         gain = SHORT_GAIN if self.expected else 1.0
@@ -338,8 +336,8 @@
             held.shard = best.shard if best else -1
         shard = self.shards[held.shard]
         shard.queue[held.request.id] = held
-        for node in shard.nodes.values() if self.cfg.gateways > FEW else ():
-            node.window.share(held.request.gateways)
+        for node in shard.nodes.values():
+            node.window.share(held.request.gateways, self.cfg.gateways)
         self.waiting.add(held.shard)
 
     def finish(self, held: Held) -> None:
