--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -27,7 +27,7 @@
 
 SILENT_AIMS = 2.0  # silence past this many of the shortest aims, with work out, makes a node suspect
 TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
-COLD_PART = 0.5  # of the rule's multiple is used for the flow a shard had: its new node may be smaller
+COLD_PART = 0.75  # of the rule's multiple is used for the flow a shard had: its new node may be smaller
 COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
 WATCH_RETRY_MS, WATCH_MAX_MS = 500.0, 8000.0  # after a failed list call, doubling: one service serves all
@@ -477,8 +477,10 @@
         if shard.bare is not None:
             return spent or now - shard.bare >= held.aim - now
         codel = shard.codels.get(held.kind.name)
-        # Guards against node time for what is late already, while a queue stands for want of it.
-        stale = codel is not None and codel.count > 0 and now >= held.aim and held.refusable
+        # Guards against node time for what is late already: had there been room, it would have gone within
+        # its aim. It hurts where room comes just then, by the worth of a late answer.
+        dropping = codel is not None and codel.count > 0 and now >= held.aim
+        stale = held.refusable and (dropping or now - held.at >= held.kind.aim_ms)
         return spent or stale or not any(held.may_go_to(node, now) for node in nodes)
 
     def dispatch(self, shard: Shard) -> None:
