--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -99,12 +99,15 @@
 
 def test_a_node_that_comes_back_after_failed_connections_is_cold(make):
     gateway = make(max_attempts=9, extra_free=9.0)
-    for name in ("a", "b"):
-        gateway.ask(name, key=name)
-        gateway.end(name, Outcome.DIAL_FAILED, closed=False)
-        gateway.run(800.0)
-    gateway.ask("c")
-    gateway.end("c", Outcome.SERVED)
+    for at in range(20):
+        gateway.ask(f"a{at}", key=f"a{at}")
+        gateway.run(100.0)
+        for held in [held for held in gateway.scheduler.requests.values() if held.out]:
+            outcome = Outcome.DIAL_FAILED if at < 10 else Outcome.SERVED
+            gateway.end(held.request.id, outcome)
+    assert any("answers again" in line for line in gateway.logs)
+    for name in list(gateway.scheduler.requests):
+        gateway.give(api.ClientGone(name))
     sent = len(gateway.sends)
     gateway.give(*[request(f"r{n}", key=f"k{n}", units=8.0) for n in range(10)])
     assert len(gateway.sends) == sent
