--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -9,7 +9,7 @@
 
 from winchdyke import interface as api
 from winchdyke.interface import Outcome
-from winchdyke.policy import CEILING, FEW, FLOOR, INTERVAL_MS, START, CoDel, Window
+from winchdyke.policy import CEILING, FEW, FLOOR, INTERVAL_MS, START, SWEEP_MS, CoDel, Window
 
 
 def stepped(window: Window, latency: float, expected: float, rounds: int, used: int = 32) -> float:
@@ -284,9 +284,13 @@
 
 def test_what_cannot_be_done_in_its_time_is_not_sent(gateway):
     gateway.ask("a", units=8.0, left_ms=20.0)
-    gateway.run(50.0)
     assert not gateway.sent("a")
-    assert isinstance(gateway.answers["a"], api.Refuse)
+    assert gateway.answers["a"] == api.Refuse("a", SETTINGS.max_retry_after_ms)
+    gateway.scheduler.nodes["n0"].lost, gateway.scheduler.nodes["n0"].trial = gateway.now, 1e9
+    gateway.ask("b", units=8.0, left_ms=250.0, key="other")
+    assert "b" not in gateway.answers
+    gateway.run(250.0 - 8.0 * gateway.scheduler.cost["read"] + SWEEP_MS)
+    assert gateway.answers["b"] == api.Refuse("b", SETTINGS.max_retry_after_ms)
 
 
 def shared(gateways: int) -> Window:
