--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -210,6 +210,18 @@
     assert "second try" in gateway.answers
 
 
+def test_what_is_held_is_not_looked_through_at_every_event(gateway, monkeypatch):
+    """A hunt's day was cut off for CPU: every event asked of all that was held whether it was hopeless."""
+    asked = []
+    hopeless = gateway.scheduler.hopeless
+    monkeypatch.setattr(gateway.scheduler, "hopeless", lambda *given: asked.append(1) or hopeless(*given))
+    gateway.give(*[request(f"r{n}", key=f"k{n}") for n in range(60)])
+    asked.clear()
+    for n in range(30):
+        gateway.ask(f"s{n}", key=f"s{n}")
+    assert len(asked) == 30
+
+
 def units_after_a_restart(gateways: int, served: bool) -> float:
     """What one gateway sends within 5 s to a node that was gone for 10 s."""
     gateway = Gateway(gateways=gateways)
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -339,6 +339,8 @@
         for node in shard.nodes.values():
             node.window.share(held.request.gateways, self.cfg.gateways)
         self.waiting.add(held.shard)
+        if self.hopeless(held, shard):
+            self.close(held)
 
     def finish(self, held: Held) -> None:
         held.done = True
@@ -428,6 +430,8 @@
             self.waiting.remove(number)
         for number in sorted(self.waiting):
             shard = self.shards[number]
+            for held in [h for h in shard.queue.values() if self.hopeless(h, shard)]:
+                self.close(held)
             for name, head in {held.kind.name: held for held in reversed(shard.queue.values())}.items():
                 codel = shard.codels.setdefault(name, CoDel(head.kind.aim_ms))
                 if codel.drops(now, now - head.at) and head.refusable:
@@ -458,20 +462,12 @@
 
     def hopeless(self, held: Held, shard: Shard) -> bool:
         """Whether waiting can earn no more. What is given up on is answered at once."""
-        now, cfg, volume, nodes = (
-            self.now,
-            self.cfg,
-            held.volume,
-            [n for n in shard.nodes.values() if n.ready],
-        )
+        now, volume, units = self.now, held.volume, held.request.units
         # Guards against clients in a hurry: what cannot be done in its time left only takes others' time.
-        spent = (
-            len(held.sent) >= cfg.max_attempts
-            or now + self.cost[held.kind.name] * held.request.units >= held.end
-        )
-        if held.volume.plan.limit and not held.sent:
-            fills = (held.request.units - volume.limit) * volume.gateways / volume.plan.limit * 1000
-            spent = spent or now + fills >= held.end
+        spent = len(held.sent) >= self.cfg.max_attempts or now + self.cost[held.kind.name] * units >= held.end
+        if volume.plan.limit and not held.sent:
+            fills = (units - volume.limit) * volume.gateways / volume.plan.limit * 1000
+            spent = spent or volume.at + fills >= held.end
         if held.request.shard < 0 and held.maybe is None:
             return spent or not any(node.ready for node in self.nodes.values())
         # Guards against shards whose node is gone for long: one is expected to stay away for as long again.
@@ -483,12 +479,11 @@
         # its aim. It hurts where room comes just then, by the worth of a late answer.
         dropping = codel is not None and codel.count > 0 and now >= held.aim
         stale = held.refusable and (dropping or now - held.at >= held.kind.aim_ms)
-        return spent or stale or not any(held.may_go_to(node, now) for node in nodes)
+        may = any(node.ready and held.may_go_to(node, now) for node in shard.nodes.values())
+        return spent or stale or not may
 
     def dispatch(self, shard: Shard) -> None:
         """Send the most valuable held requests of a shard while its node has room."""
-        for held in [h for h in shard.queue.values() if self.hopeless(h, shard)]:
-            self.close(held)
         queue, node, now = shard.queue, shard.node(), self.now
         for held in [h for h in queue.values() if h.request.shard < 0 and (node is None or node.lost)]:
             del queue[held.request.id]
