--- /dev/null
+++ b/winchdyke/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m winchdyke``."""
+
+from winchdyke.cli.main import main
+
+if __name__ == "__main__":
+    main(prog_name="winchdyke")
--- /dev/null
+++ b/winchdyke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: ``winchdyke``, one file for each sub-command."""
--- /dev/null
+++ b/winchdyke/cli/check.py
@@ -0,0 +1,21 @@
+"""``winchdyke check``: whether settings can be used."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from winchdyke.cli.common import FILE, settings_from
+
+
+@click.command("check")
+@click.argument("file", type=FILE)
+def command(file: Path) -> None:
+    """Check the settings in FILE; every mistake is told with file, line and key."""
+    config = settings_from(file)
+    names = ", ".join(kind.rules.name for kind in config.kinds)
+    click.echo(
+        f"{file}: good. Gateway {config.gateway.index + 1} of {config.gateway.gateways}; classes {names}; "
+        f"{len(config.plans)} plans; {len(config.volumes)} volume rules"
+    )
--- /dev/null
+++ b/winchdyke/cli/dev.py
@@ -0,0 +1,82 @@
+"""``winchdyke dev``: a gateway, a list service and eight stand-in stores in one process, on embedded defaults."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import anyio
+import click
+from anyio.abc import TaskGroup
+
+from winchdyke.config import Config, defaults, parse
+
+STORES = 8
+
+
+async def stand_ins(group: TaskGroup, count: int) -> int:
+    """Start a list service and stores that it lists; the service's port."""
+    from winchdyke.standins.nodelist import ListService
+    from winchdyke.standins.record import Record
+    from winchdyke.standins.store import Meter, Rack, Shelf, Spec, Store
+
+    record, meter, racks = Record(), Meter(), {"rack-a": Rack(), "rack-b": Rack()}
+    listing = ListService(record)
+    await listing.start(group)
+    for shard in range(count):
+        rack = "rack-a" if shard < count // 2 else "rack-b"
+        store = Store(Spec(shard, rack=rack), Shelf(), racks[rack], meter, record, seed=shard)
+        await store.start(group)
+        await listing.set(store.name, "ready", shard, store.spec.zone)
+
+    async def forget() -> None:
+        while True:
+            await anyio.sleep(5)
+            record.seen.clear()
+
+    group.start_soon(forget)
+    return listing.port
+
+
+def dev_config(list_port: int, host: str, port: int) -> Config:
+    """The embedded settings, at a list service and an address."""
+    config = parse(defaults(), "defaults.ini")
+    listen = dataclasses.replace(config.gateway.listen, host=host, port=port)
+    return dataclasses.replace(
+        config,
+        gateway=dataclasses.replace(config.gateway, listen=listen),
+        nodes=dataclasses.replace(config.nodes, port=list_port),
+    )
+
+
+@click.command("dev")
+@click.option(
+    "--port", type=click.IntRange(0, 65535), default=0, help="Where to listen; 0: the system chooses."
+)
+@click.option("--quiet", is_flag=True, help="No access lines.")
+def command(port: int, quiet: bool) -> None:
+    """Run a gateway with stand-in stores on loopback, to try it. Nothing is kept after it ends."""
+    from winchdyke.gateway import daemon, logs
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            config = dev_config(await stand_ins(group, STORES), "127.0.0.1", port)
+            logs.set_up("none" if quiet else config.gateway.log)
+
+            def started(gateway: daemon.Gateway) -> None:
+                host, chosen = gateway.address
+                click.echo(
+                    f"winchdyke dev: a gateway at http://{host}:{chosen}, {STORES} stand-in stores. Try:"
+                )
+                click.echo(f"  curl -i -T README.md http://{host}:{chosen}/school-1/hello.md")
+                click.echo(f"  curl -i -r 0-99 http://{host}:{chosen}/school-1/hello.md")
+                click.echo("Ctrl-C stops it.")
+
+            await daemon.serve(config, started)
+            group.cancel_scope.cancel()
+
+    try:
+        anyio.run(run)
+    except BaseExceptionGroup as group:
+        if group.split(daemon.StartError)[1] is not None:
+            raise
+        raise click.ClickException(f"can't listen at port {port}; choose another with --port") from None
--- /dev/null
+++ b/winchdyke/cli/main.py
@@ -0,0 +1,17 @@
+"""``winchdyke``: the command that holds the others."""
+
+from __future__ import annotations
+
+import click
+
+from winchdyke.cli import check, dev, serve
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="winchdyke")
+def main() -> None:
+    """A storage gateway: it schedules a host's reads and writes across storage nodes."""
+
+
+for command in (serve.command, check.command, dev.command):
+    main.add_command(command)
--- /dev/null
+++ b/winchdyke/cli/serve.py
@@ -0,0 +1,32 @@
+"""``winchdyke serve``: one gateway."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import anyio
+import click
+
+from winchdyke.cli.common import FILE, settings_from
+
+
+@click.command("serve")
+@click.option(
+    "-c", "--config", "file", type=FILE, required=True, help="Settings (INI); see 'winchdyke check'."
+)
+def command(file: Path) -> None:
+    """Run a gateway until SIGTERM; it answers all that it has taken before it ends."""
+    from winchdyke.gateway import daemon, logs
+
+    config = settings_from(file)
+    logs.set_up(config.gateway.log)
+    try:
+        anyio.run(daemon.serve, config)
+    except BaseExceptionGroup as group:
+        refused, rest = group.split(daemon.StartError)
+        if rest is not None or refused is None:
+            raise
+        error: BaseException = refused
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        raise click.ClickException(str(error)) from None
--- /dev/null
+++ b/winchdyke/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: engine, attempts at stores, connections, start and stop."""
--- /dev/null
+++ b/winchdyke/gateway/clients.py
@@ -0,0 +1,226 @@
+"""One client's connection: its requests one after another, read and answered over the parser's seam.
+
+A reader task takes in bytes as they come, up to a bound, so that a client's leaving is seen while its request waits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketStream
+
+from winchdyke.config.model import Limits
+from winchdyke.gateway.attempts import LOST, ClientLeft
+from winchdyke.http1 import END, NEED, AnswerHead, Headers, ProtocolError, RequestHead, ServerSide
+from winchdyke.objects import answers
+from winchdyke.objects.storewire import onward
+
+AHEAD = 128 * 1024  # bytes read beyond what has been asked for
+DRAIN = 64 * 1024  # of a body that nobody wants, to keep the connection
+LINGER_S = 1.0  # to let a client read its answer before the connection is closed under its unread body
+
+
+class ClientConnection:
+    """A connection, and the answer that is under way on it."""
+
+    def __init__(self, stream: SocketStream, limits: Limits) -> None:
+        self._stream, self._limits = stream, limits
+        self.codec = ServerSide(limits.header_bytes)
+        self.on_gone: Callable[[], None] | None = None
+        self.eof = self.close_after = self.idle = False
+        self.status = self.moved = 0
+        self._ahead = 0
+        self._fed, self._wanted = anyio.Event(), anyio.Event()
+        self.extra: Headers = []
+        self._scope = anyio.CancelScope()
+
+    async def run(self, handle: Callable[[ClientConnection, RequestHead], Awaitable[None]]) -> None:
+        """Serve the connection to its end."""
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._read)
+                with self._scope:
+                    await self._serve(handle)
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
+
+    async def refuse(self, status: int, headers: Headers, body: bytes) -> None:
+        """Answer without reading, and close."""
+        try:
+            with anyio.move_on_after(LINGER_S):
+                await self._stream.send(ServerSide(1024).unasked(status, headers, body))
+                await self._stream.send_eof()
+                while True:
+                    await self._stream.receive()
+        except LOST:
+            pass
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
+
+    def hang_up(self) -> None:
+        """Close where nothing is under way; else after the answer."""
+        self.close_after = True
+        if self.idle:
+            self._scope.cancel()
+
+    async def _serve(self, handle: Callable[[ClientConnection, RequestHead], Awaitable[None]]) -> None:
+        while not self.close_after:
+            try:
+                head = await self._next_head()
+            except ProtocolError as error:
+                self.close_after = True
+                await self.answer(*answers.error(error.status, "refused", error.reason, "-", str(error)))
+                await self._linger()
+                return
+            if head is None:
+                return
+            self.begin([], close=False)
+            await handle(self, head)
+            if not await self._settle():
+                return
+
+    async def _settle(self) -> bool:
+        """After an answer: whether the connection can carry the next request."""
+        if self.eof or self.codec.can_answer:
+            return False
+        if not self.codec.body_done and not self.close_after:
+            with anyio.move_on_after(LINGER_S):
+                taken = 0
+                while taken <= DRAIN and (data := await self.body()):
+                    taken += len(data)
+        if self.close_after or not self.codec.reusable:
+            await self._linger()
+            return False
+        self.codec.next_cycle()
+        return True
+
+    async def _linger(self) -> None:
+        # Guards against a reset that takes the answer from a client still sending, from whatever cause it was
+        # answered early. It hurts by a second's hold on the connection.
+        try:
+            with anyio.move_on_after(LINGER_S):
+                await self._stream.send_eof()
+                while not self.eof:
+                    self._ahead = 0
+                    self._wanted.set()
+                    await self._until_fed()
+        except LOST:
+            pass
+
+    async def _read(self) -> None:
+        try:
+            while True:
+                while self._ahead > AHEAD:
+                    self._wanted = anyio.Event()
+                    await self._wanted.wait()
+                data = await self._stream.receive(65536)
+                self._ahead += len(data)
+                if not self.close_after or not self.codec.body_done:
+                    self.codec.feed(data)
+                self._fed.set()
+        except LOST:
+            self.eof = True
+            self._fed.set()
+            if self.on_gone is not None:
+                self.on_gone()
+
+    async def _until_fed(self) -> None:
+        self._ahead = 0
+        self._wanted.set()
+        self._fed = anyio.Event()
+        await self._fed.wait()
+
+    async def _next_head(self) -> RequestHead | None:
+        head = self.codec.head()
+        if head is NEED and not self.eof:
+            self.idle = True
+            with anyio.move_on_after(self._limits.idle_timeout / 1000):
+                await self._until_fed()
+            self.idle = False
+            with anyio.move_on_after(self._limits.header_timeout / 1000):
+                while (head := self.codec.head()) is NEED and not self.eof:
+                    await self._until_fed()
+            if head is NEED and not self.eof and self._ahead:
+                raise ProtocolError(408, "head-slow", "the request's head did not arrive in time")
+        return head if isinstance(head, RequestHead) else None
+
+    async def body(self) -> bytes:
+        """More of the request's body; empty at its end. ClientLeft, or ProtocolError where it is malformed."""
+        if self.codec.waiting_for_continue:
+            await self._send(self.codec.go_on())
+        while True:
+            piece = self.codec.body()
+            if isinstance(piece, bytes):
+                self._ahead = max(0, self._ahead - len(piece))
+                self._wanted.set()
+                return piece
+            if piece is END:
+                return b""
+            if self.eof:
+                raise ClientLeft
+            await self._until_fed()
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            with anyio.fail_after(self._limits.stream_idle / 1000):
+                await self._stream.send(data)
+        except LOST as error:
+            self.close_after = True
+            raise ClientLeft from error
+
+    def begin(self, extra: Headers, close: bool) -> None:
+        """Set the headers that every answer to this request carries."""
+        self.extra, self.status, self.moved = extra, 0, 0
+        self.close_after = self.close_after or close
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        unread = self.codec.waiting_for_continue or not self.codec.body_done
+        if unread and (self.codec.waiting_for_continue or self._stopped_short()):
+            self.close_after = True
+        closing: Headers = [(b"connection", b"close")] if self.close_after else []
+        self.status = status
+        return self.codec.answer(status, headers + self.extra + closing)
+
+    def _stopped_short(self) -> bool:
+        return self.unread_length is None or self.unread_length > DRAIN
+
+    unread_length: int | None = 0  # of the present request's body, as stated
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """A whole answer in one piece; a client that has left is no error here."""
+        if not self.codec.can_answer:
+            return
+        try:
+            sent = self._head(status, headers) + (self.codec.data(body) if body else b"") + self.codec.end()
+            await self._send(sent)
+            self.moved = len(body)
+        except ClientLeft:
+            pass
+
+    async def pass_on(self, head: AnswerHead, body: bytes) -> None:
+        """A store's whole answer."""
+        await self.answer(head.status, onward(head.headers), body)
+
+    # The sink of an answer that streams.
+
+    async def begin_stream(self, head: AnswerHead) -> None:
+        """The head; it is sent with the first piece of the body."""
+        headers = onward(head.headers)
+        self._pending = self._head(head.status, headers)
+
+    _pending = b""
+
+    async def data(self, data: bytes) -> None:
+        """A piece of the body."""
+        await self._send(self._pending + self.codec.data(data))
+        self._pending = b""
+        self.moved += len(data)
+
+    async def finish(self) -> None:
+        """The end of the body."""
+        if tail := self.codec.end():
+            await self._send(tail)
--- /dev/null
+++ b/winchdyke/gateway/daemon.py
@@ -0,0 +1,164 @@
+"""One gateway from start to stop: listener, engine, list and connections under one task group."""
+
+from __future__ import annotations
+
+import errno
+import os
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import structlog
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+
+from winchdyke import interface as api
+from winchdyke.config import Config
+from winchdyke.gateway.clients import ClientConnection
+from winchdyke.gateway.engine import Engine
+from winchdyke.gateway.pool import NO_DESCRIPTORS, Pool
+from winchdyke.gateway.service import Service
+from winchdyke.nodes.follow import Follower
+from winchdyke.objects import answers
+
+ACCEPT_PAUSE_S = 0.05  # before the next accept where no descriptor is left
+STOP_SLACK_S = 1.0  # beyond the longest deadline, for what is still out at a stop
+BACKLOG = 1024
+
+
+class StartError(Exception):
+    """The gateway could not start; says why and what to do."""
+
+
+class Gateway:
+    """A gateway, made from its settings; ``run`` serves until it is stopped."""
+
+    def __init__(self, config: Config, engine: Engine | None = None) -> None:
+        limits = config.limits
+        self.config = config
+        self.engine = engine or Engine(config.settings(), config.gateway.seed)
+        self.pool = Pool(limits.connect_timeout, limits.pool_idle, limits.pool_per_node, self.engine.clock)
+        self.service = Service(config, self.engine, self.pool, self.engine.clock)
+        self.follower = Follower(config.nodes, config.gateway.name, self.engine.clock, self._listed)
+        self.engine.watch = self.follower.ask
+        self.address = ("", 0)
+        self._connections: set[ClientConnection] = set()
+        self._stop = anyio.Event()
+        self._log = structlog.get_logger("gateway")
+
+    async def _listed(self, news: api.NodeList) -> None:
+        self.engine.post(news)
+        if news.kind is api.ListKind.FULL:
+            listed = {node.name for node in news.nodes}
+            await self.pool.forget(listed)
+            self._log.info("nodes", listed=len(listed))
+
+    def stop(self) -> None:
+        """Take nothing new, answer all that was taken, and end."""
+        self._stop.set()
+
+    async def run(self, started: Callable[[], None] = lambda: None) -> None:
+        """Serve until stopped. StartError where the address can't be listened at."""
+        listener = await self._listen()
+        self.address = listener.extra(SocketAttribute.local_address)[:2]  # type: ignore[assignment]
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.engine.run)
+            self.engine.post(api.NodeList(api.ListKind.CACHED))
+            group.start_soon(self.follower.run)
+            accepting = anyio.CancelScope()
+            group.start_soon(self._accept, listener, accepting, group)
+            self._log.info(
+                "started", gateway=self.config.gateway.name, host=self.address[0], port=self.address[1]
+            )
+            started()
+            await self._stop.wait()
+            accepting.cancel()
+            await self._drain()
+            group.cancel_scope.cancel()
+        await self.pool.close()
+        self._log.info(
+            "stopped", pool=str(self.pool), **{key.lower(): n for key, n in self.engine.counts.items()}
+        )
+
+    async def _listen(self) -> SocketListener:
+        where = self.config.gateway.listen
+        try:
+            multi = await anyio.create_tcp_listener(
+                local_host=where.host, local_port=where.port, backlog=BACKLOG
+            )
+        except OSError as error:
+            raise StartError(
+                f"can't listen at {where.host}:{where.port}: {error.strerror or error}; see [gateway] listen"
+            ) from error
+        first = multi.listeners[0]
+        assert isinstance(first, SocketListener)
+        return first
+
+    async def _accept(self, listener: SocketListener, scope: anyio.CancelScope, group: TaskGroup) -> None:
+        async with listener:
+            with scope:
+                while True:
+                    try:
+                        stream = await listener.accept()
+                    except OSError as error:
+                        if error.errno not in (*NO_DESCRIPTORS, errno.ECONNABORTED):
+                            raise
+                        self._log.warning("accept", error=error.strerror)
+                        await anyio.sleep(ACCEPT_PAUSE_S)
+                        continue
+                    group.start_soon(self._connection, stream)
+
+    async def _connection(self, stream: SocketStream) -> None:
+        connection = ClientConnection(stream, self.config.limits)
+        if len(self._connections) >= self.config.limits.connections:
+            connection.close_after = True
+            text = "this gateway holds as many connections as it may; come back later"
+            after = self.engine.settings.max_retry_after_ms
+            await connection.refuse(*answers.error(503, "refused", "too-many-connections", "-", text, after))
+            return
+        self._connections.add(connection)
+        try:
+            await connection.run(self.service.handle)
+        except Exception as error:
+            self._log.error("connection", exc_info=error)
+        finally:
+            self._connections.discard(connection)
+
+    async def _drain(self) -> None:
+        self.service.stopping = True
+        for connection in list(self._connections):
+            connection.hang_up()
+        longest = max(kind.rules.deadline_ms for kind in self.config.kinds) / 1000
+        with anyio.move_on_after(longest + STOP_SLACK_S):
+            while self._connections:
+                await anyio.sleep(0.01)
+        if self._connections:
+            self._log.warning("stop-cut", connections=len(self._connections))
+
+
+async def serve(
+    config: Config, started: Callable[[Gateway], Awaitable[None] | None] = lambda _: None
+) -> None:
+    """Run a gateway until SIGTERM or SIGINT; a second one ends it at once."""
+    gateway = Gateway(config)
+
+    def ready() -> None:
+        if config.gateway.port_file:
+            path = Path(config.gateway.port_file)
+            beside = path.with_name(path.name + f".{os.getpid()}")
+            beside.write_text(f"{gateway.address[0]}:{gateway.address[1]}\n")
+            beside.replace(path)
+        started(gateway)
+
+    async with anyio.create_task_group() as group:
+
+        async def signals() -> None:
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+                async for number in received:
+                    if gateway.service.stopping:
+                        os._exit(128 + number)
+                    gateway.stop()
+
+        group.start_soon(signals)
+        await gateway.run(ready)
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/winchdyke/gateway/engine.py
@@ -0,0 +1,218 @@
+"""One task owns the Scheduler: events in, actions out, timers. It decides nothing.
+
+Whoever has taken a request holds a :class:`Ticket` and is told through it what to do; all else that happens is
+posted as an event. Events that have come together by the time the task runs are handed over together.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+import structlog
+
+from winchdyke import interface as api
+from winchdyke.policy import Scheduler
+
+Told = api.Send | api.Refuse | api.Fail | api.Cancel
+
+
+def monotonic_ms() -> float:
+    """The gateway's clock: milliseconds."""
+    return time.monotonic() * 1000
+
+
+class Decider(Protocol):
+    """What the engine needs of the scheduler."""
+
+    def handle(self, now: float, events: list[api.Event]) -> list[api.Action]:
+        """Actions that answer the events."""
+
+
+class Ticket:
+    """One request that has been taken, and what the scheduler says of it, in order."""
+
+    __slots__ = (
+        "_wake",
+        "actions",
+        "attempts",
+        "attempts_out",
+        "closed",
+        "end",
+        "faulted",
+        "gone",
+        "id",
+        "on_cancel",
+    )
+
+    def __init__(self, request: str, end: float) -> None:
+        self.id, self.end = request, end
+        self.actions: deque[Told] = deque()
+        self.attempts = self.attempts_out = 0
+        self.gone = self.closed = self.faulted = False
+        self.on_cancel: Callable[[int], None] | None = None
+        self._wake: anyio.Event | None = None
+
+    def tell(self, action: Told) -> None:
+        """Put an action where the holder finds it."""
+        self.actions.append(action)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the holder look."""
+        if self._wake is not None:
+            self._wake.set()
+
+    async def next(self) -> Told | None:
+        """The next action; None once the client has gone and none is left."""
+        while not self.actions:
+            if self.gone:
+                return None
+            self._wake = anyio.Event()
+            await self._wake.wait()
+        return self.actions.popleft()
+
+
+class Engine:
+    """The scheduler of one gateway, with its clock and its timers."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        make: Callable[[api.Settings, int, float], Decider] = Scheduler,
+        clock: Callable[[], float] = monotonic_ms,
+    ) -> None:
+        self.settings, self.clock = settings, clock
+        self._make, self._seed, self._starts = make, seed, 0
+        self.tickets: dict[str, Ticket] = {}
+        self.counts: Counter[str] = Counter()
+        self.watch: Callable[[], None] = lambda: None
+        self.nodes: dict[str, api.Node] = {}
+        self._inbox: list[api.Event] = []
+        self._timers: list[tuple[float, int, int]] = []
+        self._timer_number = 0
+        self._wake = anyio.Event()
+        self._log = structlog.get_logger("engine")
+        self._scheduler = self._begin()
+
+    def _begin(self) -> Decider:
+        self._starts += 1
+        return self._make(self.settings, self._seed + self._starts - 1, self.clock())
+
+    def take(self, request: api.Request) -> Ticket:
+        """Hand a request to the scheduler, which owes it exactly one final answer from now on."""
+        if request.id in self.tickets:
+            raise ValueError(f"request {request.id} is held already")
+        ticket = self.tickets[request.id] = Ticket(request.id, self.clock() + request.left_ms)
+        self.post(request)
+        return ticket
+
+    def post(self, event: api.Event) -> None:
+        """Hand over an event; it is decided on at the task's next turn, with all that came meanwhile."""
+        self._inbox.append(event)
+        self._wake.set()
+
+    def gone(self, ticket: Ticket) -> None:
+        """The client has left."""
+        if not ticket.closed:
+            ticket.closed = ticket.gone = True
+            self.tickets.pop(ticket.id, None)
+            self.post(api.ClientGone(ticket.id))
+            ticket.wake()
+
+    def ended(self, ticket: Ticket, event: api.AttemptEnded) -> None:
+        """An attempt has ended; where that finishes the request its ticket is closed."""
+        ticket.attempts_out -= 1
+        if event.closed and not ticket.closed:
+            ticket.closed = True
+            self.tickets.pop(ticket.id, None)
+        self.post(event)
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        while True:
+            if not self._inbox and not self._due():
+                self._wake = anyio.Event()
+                if self._timers:
+                    with anyio.move_on_after(max(0.0, self._timers[0][0] - self.clock()) / 1000):
+                        await self._wake.wait()
+                else:
+                    await self._wake.wait()
+            else:
+                await anyio.sleep(0)  # let all that is ready now be said, and handed over together
+            self.turn()
+
+    def _due(self) -> bool:
+        return bool(self._timers) and self._timers[0][0] <= self.clock()
+
+    def turn(self) -> None:
+        """Hand over what has come, and carry out what is decided."""
+        now, timers = self.clock(), self._timers
+        events, self._inbox = self._inbox, []
+        while timers and timers[0][0] <= now:
+            events.append(api.TimerFired(heapq.heappop(timers)[2]))
+        if not events:
+            return
+        for event in events:
+            if isinstance(event, api.NodeList):
+                self._remember(event)
+        try:
+            for action in self._scheduler.handle(now, events):
+                self._carry_out(now, action)
+        except Exception as error:
+            self._fault(error)
+
+    def _remember(self, news: api.NodeList) -> None:
+        if news.kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            self.nodes = {}
+        for node in news.nodes:
+            self.nodes[node.name] = node
+
+    def _carry_out(self, now: float, action: api.Action) -> None:
+        self.counts[type(action).__name__] += 1
+        if isinstance(action, (api.Send, api.Refuse, api.Fail)):
+            ticket = self.tickets.get(action.request)
+            if ticket is None:  # it left in this very turn
+                if isinstance(action, api.Send):
+                    gone = api.AttemptEnded(action.request, 0, action.node, api.Outcome.UNSENT, 0.0, True)
+                    self.post(gone)
+                return
+            if isinstance(action, api.Send):
+                ticket.attempts_out += 1
+            else:
+                ticket.closed = True
+                del self.tickets[action.request]
+            ticket.tell(action)
+        elif isinstance(action, api.SetTimer):
+            self._timer_number += 1
+            heapq.heappush(self._timers, (now + max(0.0, action.after_ms), self._timer_number, action.tag))
+        elif isinstance(action, api.Cancel):
+            ticket = self.tickets.get(action.request)
+            if ticket is not None and ticket.on_cancel is not None:
+                ticket.on_cancel(action.attempt)
+        elif isinstance(action, api.WatchList):
+            self.watch()
+        else:
+            self._log.info("scheduler", text=action.text)
+
+    def _fault(self, error: Exception) -> None:
+        # Guards against a request that waits for a scheduler that has failed, whatever the cause: all that it held
+        # is answered, and a new one begins empty, as after a kill: limits and cold nodes with no credit. It hurts
+        # where one bad request faults it again and again: each time all others fail with it.
+        self.counts["faults"] += 1
+        self._log.error("engine-fault", error=repr(error), held=len(self.tickets), exc_info=error)
+        tickets, self.tickets = self.tickets, {}
+        self._inbox, self._timers = [event for event in self._inbox if isinstance(event, api.NodeList)], []
+        for ticket in tickets.values():
+            ticket.closed = ticket.faulted = True
+            ticket.actions.clear()
+            ticket.tell(api.Fail(ticket.id))
+            if ticket.on_cancel is not None:
+                ticket.on_cancel(-1)
+        self._scheduler = self._begin()
+        self.post(api.NodeList(api.ListKind.CACHED, tuple(self.nodes.values())))
--- /dev/null
+++ b/winchdyke/gateway/service.py
@@ -0,0 +1,486 @@
+"""From a client's request to its one final answer: asked of the scheduler, carried out, logged. It decides nothing."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import quote
+
+import anyio
+import msgspec
+import structlog
+
+from winchdyke import interface as api
+from winchdyke import placement
+from winchdyke.config.model import Config, Kind, VolumeRule
+from winchdyke.gateway import outcomes
+from winchdyke.gateway.attempts import Answer, Attempt, ClientLeft, Ended, Outgoing, Sink
+from winchdyke.gateway.bodies import BodyStore, BodyStoreFull, ReplayBody
+from winchdyke.gateway.clients import ClientConnection
+from winchdyke.gateway.engine import Engine, Ticket
+from winchdyke.gateway.pool import Pool
+from winchdyke.http1 import AnswerHead, Headers, ProtocolError, RequestHead
+from winchdyke.objects import answers, listing, ranges, routes, storewire
+from winchdyke.objects.answers import RequestError
+
+BACKSTOP_MS = 250.0  # past a request's time after which the gateway answers without the scheduler
+BODIES = ("put", "post", "put-part", "complete-upload")
+
+
+@dataclass(slots=True)
+class Final:
+    """The one final answer to a request."""
+
+    status: int
+    outcome: str
+    reason: str
+    text: str = ""
+    retry_after_ms: float | None = None
+    answer: Answer | None = None
+    relayed: bool = False
+
+
+@dataclass(slots=True)
+class Record:
+    """What the access line of a request tells."""
+
+    attempts: int = 0
+    nodes: list[str] = field(default_factory=list)
+    ends: list[str] = field(default_factory=list)
+    held_ms: float = 0.0  # waiting at this gateway
+    out_ms: float = 0.0  # attempts at stores, less what the client held up
+
+
+class Nowhere:
+    """A sink for what is not wanted: answers that stream where only whole ones are taken."""
+
+    async def begin_stream(self, head: AnswerHead) -> None:
+        """Refuse."""
+        raise ClientLeft
+
+    async def data(self, data: bytes) -> None:
+        """Refuse."""
+        raise ClientLeft
+
+    async def finish(self) -> None:
+        """Refuse."""
+        raise ClientLeft
+
+
+class Service:
+    """The object API of one gateway."""
+
+    def __init__(self, config: Config, engine: Engine, pool: Pool, clock: Callable[[], float]) -> None:
+        self.config, self.engine, self.pool, self.clock = config, engine, pool, clock
+        self.bodies = BodyStore(config.limits.body_total, config.limits.body_memory)
+        self.stopping = False
+        self.active = 0
+        self._keys: set[tuple[str, str]] = set()
+        self._kinds = {kind.rules.name: kind.rules for kind in config.kinds}
+        self._volumes: dict[str, VolumeRule] = {}
+        self._log = structlog.get_logger("access")
+
+    async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
+        """Answer one request; whatever happens, once."""
+        began, request = self.clock(), str(uuid.uuid4())
+        connection.begin([(answers.REQUEST_ID, request.encode())], close=self.stopping)
+        connection.unread_length = head.length
+        record = Record()
+        operation: routes.Operation | None = None
+        kind: Kind | None = None
+        self.active += 1
+        try:
+            operation = routes.parse(head)
+            kind, volume = self._settings_of(operation)
+            final = await self._keyed(connection, head, operation, kind, volume, request, record)
+        except RequestError as error:
+            final = Final(error.status, "refused", error.reason, str(error))
+            connection.begin(
+                [*connection.extra, *([(b"allow", error.allow.encode())] if error.allow else [])], False
+            )
+        except Exception as error:
+            final = Final(500, "failed", "internal")
+            structlog.get_logger("gateway").error("internal", request=request, exc_info=error)
+        finally:
+            self.active -= 1
+            connection.on_gone = None
+        try:
+            await self._say(connection, request, final)
+        finally:
+            self._access(connection, head, operation, kind, request, final, record, began)
+
+    def _settings_of(self, operation: routes.Operation) -> tuple[Kind, VolumeRule]:
+        volume = self._volumes.get(operation.volume)
+        if volume is None:
+            volume = self.config.volume(operation.volume)
+            if volume is None:
+                raise RequestError(404, "no-volume", f"no volume {operation.volume!r} is set up here")
+            if len(self._volumes) > 100_000:
+                self._volumes.clear()
+            self._volumes[operation.volume] = volume
+        kind = self.config.kind_for(operation.name, operation.class_name)
+        if kind is None:
+            asked = f" in class {operation.class_name!r}" if operation.class_name else ""
+            raise RequestError(400, "no-class", f"no class is set up for {operation.name}{asked}")
+        return kind, volume
+
+    async def _keyed(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        operation: routes.Operation,
+        kind: Kind,
+        volume: VolumeRule,
+        request: str,
+        record: Record,
+    ) -> Final:
+        """One at a time for a client's Idempotency-Key, as the IETF's draft on that header has it."""
+        mine = (operation.volume, operation.idempotency_key)
+        if not operation.idempotency_key:
+            return await self._one(connection, head, operation, kind, volume, request, record)
+        if mine in self._keys:
+            text = "a request with this Idempotency-Key is under way; wait for its answer"
+            return Final(409, "refused", "key-in-use", text, 1000.0)
+        self._keys.add(mine)
+        try:
+            return await self._one(connection, head, operation, kind, volume, request, record)
+        finally:
+            self._keys.discard(mine)
+
+    async def _one(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        operation: routes.Operation,
+        kind: Kind,
+        volume: VolumeRule,
+        request: str,
+        record: Record,
+    ) -> Final:
+        limits, rules = self.config.limits, kind.rules
+        left = min(rules.deadline_ms, operation.time_left_ms or rules.deadline_ms) - limits.answer_margin
+        body: ReplayBody | None = None
+        if operation.name in BODIES:
+            if head.length is not None and head.length > limits.object_bytes:
+                raise RequestError(
+                    413, "too-large", f"{head.length} bytes; {limits.object_bytes} is the most here"
+                )
+            try:
+                keep = self.engine.settings.max_attempts > 1
+                body = ReplayBody(self._bounded(connection), head.length, self.bodies, keep)
+            except BodyStoreFull:
+                return self._full()
+        largest = self.engine.settings.largest_units
+        units = routes.units(operation, head.length, kind.unit_bytes, kind.usual_units, largest)
+        ask = api.Request(
+            id=request,
+            class_name=rules.name,
+            plan=volume.plan,
+            volume=operation.volume,
+            key=f"{operation.volume}/{operation.key}"
+            if rules.in_order
+            else operation.idempotency_key or operation.key,
+            units=units,
+            shard=placement.ANYWHERE,
+            gateways=volume.gateways,
+            left_ms=max(0.0, left),
+        )
+        if operation.name == "list":
+            return await self._listed(connection, operation, ask, volume, record)
+        if operation.name != "post":
+            shard = placement.shard_of(operation.volume, operation.key, volume.shards)
+            ask = _at(ask, shard)
+        stem = uuid.uuid4().hex
+        ticket = self.engine.take(ask)
+
+        def outgoing(node: str, number: int) -> Outgoing:
+            shard = self.engine.nodes[node].shard
+            key = placement.placed_key(stem, shard) if operation.name == "post" else operation.key
+            headers = self._headers(operation, ask, head, shard, number, body)
+            return Outgoing(operation.store_method, operation.target(key), headers, body)
+
+        try:
+            return await self._exchange(ticket, outgoing, operation, connection, connection, record)
+        finally:
+            if body is not None:
+                body.close()
+
+    def _bounded(self, connection: ClientConnection) -> Callable[[], Awaitable[bytes]]:
+        most, got = self.config.limits.object_bytes, 0
+
+        async def read() -> bytes:
+            nonlocal got
+            data = await connection.body()
+            got += len(data)
+            if got > most:
+                raise ProtocolError(413, "too-large", f"the object is larger than {most} bytes")
+            return data
+
+        return read
+
+    def _headers(
+        self,
+        operation: routes.Operation,
+        ask: api.Request,
+        head: RequestHead | None,
+        shard: int,
+        number: int,
+        body: ReplayBody | None,
+    ) -> Headers:
+        headers: Headers = [
+            (b"host", b"store"),
+            (storewire.REQUEST, ask.id.encode()),
+            (storewire.ATTEMPT, str(number).encode()),
+            (storewire.GATEWAY, self.config.gateway.name.encode()),
+            (storewire.CLASS, ask.class_name.encode()),
+            (storewire.UNITS, f"{ask.units:g}".encode()),
+            (storewire.SHARD, str(shard).encode()),
+            *operation.passed,
+        ]
+        kind = self._kinds[ask.class_name]
+        if kind.effect is api.Effect.KEYED:
+            headers.append((storewire.KEY, (operation.idempotency_key or ask.id).encode()))
+        if kind.in_order and ask.key:
+            headers.append((storewire.ORDER, quote(ask.key, safe="/-._~").encode()))
+        if operation.range is not None:
+            headers.append((b"range", str(operation.range).encode()))
+        if body is not None:
+            if body.length is None:
+                headers.append((b"transfer-encoding", b"chunked"))
+            else:
+                headers.append((b"content-length", str(body.length).encode()))
+        return headers
+
+    async def _exchange(
+        self,
+        ticket: Ticket,
+        outgoing: Callable[[str, int], Outgoing],
+        operation: routes.Operation,
+        sink: Sink,
+        connection: ClientConnection,
+        record: Record,
+    ) -> Final:
+        """Do what the scheduler says until the request has its final answer."""
+        last: api.Outcome | None = None
+        running: list[Attempt] = []
+        self._watch_client(connection, ticket, running)
+        while True:
+            since = self.clock()
+            action: object = None
+            with anyio.move_on_after(max(0.0, ticket.end + BACKSTOP_MS - since) / 1000) as backstop:
+                action = await ticket.next()
+            record.held_ms += self.clock() - since
+            if backstop.cancelled_caught:
+                self.engine.gone(ticket)
+                return Final(504, "failed", "engine-silent")
+            if action is None:
+                return Final(0, "gone", "client-gone")
+            if isinstance(action, (api.Refuse, api.Fail)):
+                status, outcome, reason = outcomes.final(action, last, self.clock() >= ticket.end - 5.0)
+                after = action.retry_after_ms if isinstance(action, api.Refuse) else None
+                return Final(status, outcome, "engine-fault" if ticket.faulted else reason, "", after)
+            if not isinstance(action, api.Send):
+                continue
+            ended = await self._attempt(ticket, action, outgoing, operation, sink, running)
+            last = ended.outcome
+            record.attempts += 1
+            record.nodes.append(action.node)
+            record.ends.append(outcomes.CODES[last])
+            record.out_ms += ended.latency_ms
+            final = self._settled(ended)
+            if final is not None:
+                return final
+
+    def _watch_client(self, connection: ClientConnection, ticket: Ticket, running: list[Attempt]) -> None:
+        before = connection.on_gone
+
+        def gone() -> None:
+            if before is not None:
+                before()
+            self.engine.gone(ticket)
+            for attempt in running:
+                # One that is out whole is heard to its end: its node goes on with it, and its window must know.
+                if not attempt.all_sent:
+                    attempt.cancel()
+
+        connection.on_gone = gone
+        if connection.eof:
+            gone()
+
+    async def _attempt(
+        self,
+        ticket: Ticket,
+        send: api.Send,
+        outgoing: Callable[[str, int], Outgoing],
+        operation: routes.Operation,
+        sink: Sink,
+        running: list[Attempt],
+    ) -> Ended:
+        number, ticket.attempts = ticket.attempts, ticket.attempts + 1
+        timeout = ticket.end - self.clock()
+        if send.timeout_ms > 0:
+            timeout = min(timeout, send.timeout_ms)
+        if ticket.gone:
+            ended = Ended(api.Outcome.UNSENT)
+        else:
+            attempt = Attempt(
+                self.pool,
+                self.clock,
+                self.config.limits.stream_idle,
+                sink,
+                lambda: self.engine.post(api.StreamStarted(ticket.id, number)),
+                lambda head: _fits(operation, head),
+            )
+            running[:] = [attempt]
+            ticket.on_cancel = lambda which: attempt.cancel() if which in (number, -1) else None
+            ended = await attempt.run(send.node, outgoing(send.node, number), timeout)
+            ticket.on_cancel = None
+        told = ended.told
+        closed = (
+            ended.outcome is api.Outcome.SERVED or ended.relayed or ended.fault is not None or ticket.closed
+        )
+        event = api.AttemptEnded(
+            ticket.id,
+            number,
+            send.node,
+            ended.outcome,
+            ended.latency_ms,
+            closed,
+            told.used_percent,
+            told.from_others,
+            told.load,
+        )
+        self.engine.ended(ticket, event)
+        return ended
+
+    def _settled(self, ended: Ended) -> Final | None:
+        """The final answer where an attempt's end was one."""
+        fault = ended.fault
+        if ended.relayed:
+            if ended.outcome is api.Outcome.SERVED:
+                return Final(ended.status, "served", "ok", relayed=True)
+            reason = "client-gone" if isinstance(fault, ClientLeft) else "store-cut"
+            return Final(ended.status, "failed", reason, relayed=True)
+        if isinstance(fault, ClientLeft):
+            return Final(0, "gone", "client-gone")
+        if isinstance(fault, ProtocolError):
+            return Final(fault.status, "failed", fault.reason, str(fault))
+        if isinstance(fault, BodyStoreFull):
+            return Final(507, "failed", "body-store-full", outcomes.REASONS["body-store-full"])
+        if ended.answer is not None:
+            return Final(ended.status, "served", "ok", answer=ended.answer)
+        return None
+
+    def _full(self) -> Final:
+        after = self.engine.settings.max_retry_after_ms
+        return Final(503, "refused", "body-store-full", outcomes.REASONS["body-store-full"], after)
+
+    async def _listed(
+        self,
+        connection: ClientConnection,
+        operation: routes.Operation,
+        ask: api.Request,
+        volume: VolumeRule,
+        record: Record,
+    ) -> Final:
+        """Ask each shard of the volume for its page, each a request of its own to the scheduler, and merge them."""
+        finals: list[Final] = []
+
+        async def one(number: int, shard: int) -> None:
+            part = _at(ask, shard, f"{ask.id}.{number}")
+            ticket = self.engine.take(part)
+
+            def outgoing(node: str, attempt: int) -> Outgoing:
+                headers = self._headers(operation, part, None, shard, attempt, None)
+                return Outgoing("GET", operation.target(), headers)
+
+            finals.append(await self._exchange(ticket, outgoing, operation, Nowhere(), connection, record))
+
+        async with anyio.create_task_group() as group:
+            for number, shard in enumerate(volume.shards):
+                group.start_soon(one, number, shard)
+        pages = []
+        for final in sorted(
+            finals, key=lambda final: ("gone", "failed", "refused", "served").index(final.outcome)
+        ):
+            if final.answer is None:
+                return final if not final.relayed else Final(502, "failed", "list-too-large")
+            try:
+                pages.append(msgspec.json.decode(final.answer.body, type=listing.Page))
+            except msgspec.DecodeError:
+                return Final(502, "failed", "store-error", "a store's listing can't be read")
+        body = msgspec.json.encode(listing.merge(pages, operation.limit)) + b"\n"
+        headers: Headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        return Final(200, "served", "ok", answer=Answer(AnswerHead(200, headers, len(body)), body))
+
+    async def _say(self, connection: ClientConnection, request: str, final: Final) -> None:
+        if final.outcome == "gone" or connection.eof:
+            connection.close_after = True
+        elif final.relayed:
+            if final.outcome != "served":
+                connection.close_after = True  # cut: never an end that looks whole
+        elif final.answer is not None:
+            extra = [(answers.OUTCOME, b"served"), (answers.REASON, b"ok")]
+            connection.begin([*connection.extra, *extra], False)
+            await connection.pass_on(final.answer.head, final.answer.body)
+        else:
+            text = final.text or outcomes.REASONS[final.reason]
+            said = answers.error(
+                final.status, final.outcome, final.reason, request, text, final.retry_after_ms
+            )
+            await connection.answer(*said)
+
+    def _access(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        operation: routes.Operation | None,
+        kind: Kind | None,
+        request: str,
+        final: Final,
+        record: Record,
+        began: float,
+    ) -> None:
+        self._log.info(
+            "request",
+            request=request,
+            client_request=head.get(b"x-request-id"),
+            method=head.method,
+            path=head.target.decode("latin-1")[:200],
+            operation=operation.name if operation else None,
+            volume=operation.volume if operation else None,
+            request_class=kind.rules.name if kind else None,
+            status=connection.status or final.status,
+            outcome=final.outcome,
+            reason=final.reason,
+            attempts=record.attempts,
+            nodes=record.nodes,
+            ends=record.ends,
+            held_ms=round(record.held_ms, 2),
+            out_ms=round(record.out_ms, 2),
+            total_ms=round(self.clock() - began, 2),
+            bytes=connection.moved,
+        )
+
+
+def _at(ask: api.Request, shard: int, request: str | None = None) -> api.Request:
+    """The same request for a shard, under another id where one is given."""
+    return api.Request(
+        request or ask.id,
+        ask.class_name,
+        ask.plan,
+        ask.volume,
+        ask.key,
+        ask.units,
+        shard,
+        ask.gateways,
+        ask.left_ms,
+    )
+
+
+def _fits(operation: routes.Operation, head: AnswerHead) -> bool:
+    return ranges.answers(operation.range, head.status, head.get(b"content-range"), head.length)
--- /dev/null
+++ b/winchdyke/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The node list: its wire, and following it."""
--- /dev/null
+++ b/winchdyke/nodes/wire.py
@@ -0,0 +1,72 @@
+"""The list service's answers: JSON in, node lists out. Pure; the page is ``docs/node-list.md``."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from winchdyke import interface as api
+
+STATES = {"ready": api.NodeState.READY, "draining": api.NodeState.DRAINING, "gone": api.NodeState.GONE}
+FORMS = {"full": api.ListKind.FULL, "changes": api.ListKind.CHANGES, "cached": api.ListKind.CACHED}
+
+
+class ListError(Exception):
+    """An answer of the list service that can't be used; says what is wrong."""
+
+
+class Entry(msgspec.Struct):
+    """One node; ``started_unix_ms`` is absent where it has been up for long."""
+
+    name: str
+    state: Literal["ready", "draining", "gone"]
+    shard: int
+    zone: str = ""
+    started_unix_ms: float = 0.0
+
+
+class Listing(msgspec.Struct):
+    """A list, or what changed since ``token``'s predecessor."""
+
+    token: str
+    form: Literal["full", "changes", "cached"]
+    nodes: list[Entry]
+
+
+class Reader:
+    """Turns listings into events on the gateway's clock.
+
+    A start's wall time is turned into monotonic time once and kept: turned anew each time, the clocks' drift would
+    make every list look like a restart.
+    """
+
+    def __init__(self) -> None:
+        self._started: dict[tuple[str, float], float] = {}
+
+    def read(self, data: bytes, now_ms: float, unix_ms: float) -> tuple[str, api.NodeList]:
+        """The token for the next call, and the event. ListError where the bytes are no listing."""
+        try:
+            listing = msgspec.json.decode(data, type=Listing)
+        except msgspec.DecodeError as error:
+            raise ListError(f"the list can't be read: {error}") from error
+        names = [entry.name for entry in listing.nodes]
+        if len(set(names)) != len(names):
+            raise ListError("the list names a node twice")
+        for entry in listing.nodes:
+            host, _, port = entry.name.rpartition(":")
+            if not host or not port.isdigit() or not 0 < int(port) < 65536:
+                raise ListError(f"the list names {entry.name!r}, which is not HOST:PORT")
+        nodes = tuple(self._node(entry, now_ms, unix_ms) for entry in listing.nodes)
+        if listing.form != "changes":
+            kept = {(entry.name, entry.started_unix_ms) for entry in listing.nodes}
+            self._started = {key: at for key, at in self._started.items() if key in kept}
+        return listing.token, api.NodeList(FORMS[listing.form], nodes)
+
+    def _node(self, entry: Entry, now_ms: float, unix_ms: float) -> api.Node:
+        started = 0.0
+        if entry.started_unix_ms > 0:
+            # A start in the future is a clock that is off: it counts as now.
+            at = min(now_ms, now_ms - (unix_ms - entry.started_unix_ms))
+            started = self._started.setdefault((entry.name, entry.started_unix_ms), max(at, 1e-3))
+        return api.Node(entry.name, STATES[entry.state], entry.shard, entry.zone, started)
--- /dev/null
+++ b/winchdyke/objects/__init__.py
@@ -0,0 +1,1 @@
+"""The object API: routes, ranges, listings and answers. Parsing is pure."""
--- /dev/null
+++ b/winchdyke/standins/nodelist.py
@@ -0,0 +1,104 @@
+"""A stand-in list service: long polls answered with changes or the whole list; late, old or failing on demand."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+import h11
+from anyio.abc import SocketStream, TaskGroup
+
+from winchdyke.standins.record import Record
+from winchdyke.standins.wire import Peer, accept_all, listen, port_of
+
+
+class ListService:
+    """Holds the list and tells it. ``set`` changes an entry; ``late_ms`` is how long a change takes to show."""
+
+    def __init__(self, record: Record) -> None:
+        self.record = record
+        self.port = 0
+        self.failing = ""  # "": well; "error": answers 500; "silence": says nothing; "down": not listening
+        self.late_ms = 0.0
+        self.cached = False  # tell the list as it was when this was set
+        self._epoch = uuid.uuid4().hex[:8]
+        self._entries: dict[str, dict[str, Any]] = {}
+        self._changes: list[tuple[int, str]] = []
+        self._version = 0
+        self._news = anyio.Event()
+        self._scope: anyio.CancelScope | None = None
+
+    async def start(self, group: TaskGroup) -> None:
+        """Listen, at the port it had before."""
+        listener = await listen(self.port)
+        self.port = port_of(listener)
+        self._scope = anyio.CancelScope()
+
+        async def run(scope: anyio.CancelScope) -> None:
+            with scope:
+                await accept_all(listener, self._serve)
+
+        group.start_soon(run, self._scope)
+
+    def kill(self) -> None:
+        """Stop listening."""
+        if self._scope is not None:
+            self._scope.cancel()
+            self._scope = None
+
+    async def set(self, name: str, state: str, shard: int, zone: str, started_unix_ms: float = 0.0) -> None:
+        """Change an entry, seen after ``late_ms``; ``gone`` removes it from whole lists."""
+        if self.late_ms:
+            await anyio.sleep(self.late_ms / 1000)
+        self._version += 1
+        self._entries[name] = {
+            "name": name, "state": state, "shard": shard, "zone": zone, "started_unix_ms": started_unix_ms,
+        }  # fmt: skip
+        self._changes.append((self._version, name))
+        self._news.set()
+        self._news = anyio.Event()
+
+    async def _serve(self, stream: SocketStream) -> None:
+        peer = Peer(stream, h11.SERVER)
+        event = await peer.event()
+        if not isinstance(event, h11.Request):
+            return
+        while not isinstance(await peer.event(), h11.EndOfMessage):
+            pass
+        query = {name: values[0] for name, values in parse_qs(urlsplit(event.target.decode()).query).items()}
+        if self.failing == "silence":
+            await anyio.sleep_forever()
+        if self.failing == "error":
+            await self._say(peer, 500, b"")
+            return
+        since = query.get("since", "")
+        epoch, _, version = since.partition(":")
+        known = int(version) if epoch == self._epoch and version.isdigit() else -1
+        if known >= self._version:
+            with anyio.move_on_after(float(query.get("wait", "0")) / 1000):
+                while known >= self._version:
+                    await self._news.wait()
+        if known >= self._version:
+            await self._say(peer, 204, b"")
+            return
+        if known < 0:
+            form, names = "full", [name for name, entry in self._entries.items() if entry["state"] != "gone"]
+        else:
+            form, names = "changes", list(dict.fromkeys(name for at, name in self._changes if at > known))
+        nodes = [dict(self._entries[name]) for name in names]
+        body = {"token": f"{self._epoch}:{self._version}", "form": form, "nodes": nodes}
+        await self._say(peer, 200, json.dumps(body).encode())
+        states = {entry["name"]: entry["state"] for entry in nodes}
+        starts = {entry["name"]: entry["started_unix_ms"] for entry in nodes}
+        self.record.note(
+            "list", "told", gateway=query.get("gateway", "-"), form=form, states=states, starts=starts
+        )
+
+    @staticmethod
+    async def _say(peer: Peer, status: int, body: bytes) -> None:
+        headers = [("connection", "close")] + ([("content-length", str(len(body)))] if status != 204 else [])
+        data = [h11.Data(data=body)] if body else []
+        await peer.send(h11.Response(status_code=status, headers=headers), *data, h11.EndOfMessage())
--- /dev/null
+++ b/winchdyke/standins/record.py
@@ -0,0 +1,40 @@
+"""What stand-ins saw: one flat list of exchanges, in order of time, on the host's monotonic clock (milliseconds)."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+Seen = dict[str, Any]
+
+
+def clock() -> float:
+    """Milliseconds, the same clock in every process of this host."""
+    return time.monotonic() * 1000
+
+
+class Record:
+    """A list of what was seen. ``what`` names the kind of entry, ``who`` the stand-in that saw it."""
+
+    def __init__(self) -> None:
+        self.seen: list[Seen] = []
+
+    def note(self, who: str, what: str, **more: Any) -> Seen:
+        """Write down something seen now."""
+        entry = {"t": clock(), "who": who, "what": what, **more}
+        self.seen.append(entry)
+        return entry
+
+    def save(self, path: Path) -> None:
+        """Write it as JSON lines."""
+        with path.open("w", encoding="utf-8") as file:
+            for entry in self.seen:
+                file.write(json.dumps(entry, separators=(",", ":")) + "\n")
+
+
+def load(lines: Iterable[str]) -> list[Seen]:
+    """Entries from JSON lines, in order of time."""
+    return sorted((json.loads(line) for line in lines if line.strip()), key=lambda entry: entry["t"])
--- /dev/null
+++ b/winchdyke/standins/store.py
@@ -0,0 +1,493 @@
+"""A stand-in store: cores, a queue in turn of arrival, cold starts, dropped repeats, and faults on demand.
+
+Its objects lie on a :class:`Shelf` that outlives it. The protocol is ``docs/store-protocol.md``.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import anyio
+import h11
+from anyio.abc import SocketStream, TaskGroup
+
+from winchdyke.standins.record import Record, clock
+from winchdyke.standins.wire import Peer, accept_all, listen, port_of
+
+TRICKS = (
+    "die-on-accept", "die-mid-request", "die-after-run", "die-mid-head", "die-mid-answer", "short-answer",
+    "long-answer", "trickle", "no-http", "shed", "error", "silence", "reset-after-run", "wrong-range",
+    "early-shed", "close-idle",
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Spec:
+    """What a store can do and what it promises. Times in milliseconds."""
+
+    shard: int
+    zone: str = "hall-a"
+    rack: str = "rack-a"
+    cores: int = 2
+    speed: float = 1.0
+    unit_ms: float = 8.0
+    queue: int = 64
+    memory_ms: float = 4000.0
+    cold_from: float = 0.2
+    warm_ms: float = 10_000.0
+    fall_multiple: float = 3.0
+    fall_window_ms: float = 1500.0
+    cold_units: float = 9.0
+    meter_ms: float = 500.0
+    usual_rate: float = 40.0
+
+    @property
+    def power(self) -> float:
+        """Units a second when warm."""
+        return self.cores * self.speed * 1000 / self.unit_ms
+
+
+@dataclass
+class Shelf:
+    """The objects and uploads of one shard."""
+
+    objects: dict[tuple[str, str], tuple[bytes, str]] = field(default_factory=dict)
+    uploads: dict[str, tuple[str, str, dict[int, bytes]]] = field(default_factory=dict)
+    made: int = 0
+
+
+class Rack:
+    """What the stores of a rack remember together: the answers to keyed requests, for a stated time."""
+
+    def __init__(self) -> None:
+        self.known: dict[str, tuple[float, Job]] = {}
+
+
+class Meter:
+    """Units served for each volume through everything, by finished period."""
+
+    def __init__(self, period_ms: float = 500.0) -> None:
+        self.period = period_ms
+        self._sums: defaultdict[str, defaultdict[int, float]] = defaultdict(lambda: defaultdict(float))
+
+    def add(self, volume: str, units: float) -> None:
+        """Count units served now."""
+        sums = self._sums[volume]
+        sums[int(clock() // self.period)] += units
+        for old in [period for period in sums if period < clock() // self.period - 4]:
+            del sums[old]
+
+    def percent(self, volume: str, usual_rate: float) -> int:
+        """The last finished period's units, in percent of the usual rate."""
+        done = self._sums[volume].get(int(clock() // self.period) - 1, 0.0)
+        return round(100 * done * 1000 / self.period / usual_rate)
+
+
+@dataclass
+class Job:
+    """One request's work, and its answer once done."""
+
+    status: int = 500
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+    done: anyio.Event = field(default_factory=anyio.Event)
+
+
+class Asked:
+    """A request as the store read it."""
+
+    def __init__(self, event: h11.Request) -> None:
+        self.method = event.method.decode()
+        self.headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+        parts = urlsplit(event.target.decode())
+        volume, _, key = parts.path[1:].partition("/")
+        self.volume, self.key = unquote(volume), unquote(key)
+        self.query = {
+            name: values[0] for name, values in parse_qs(parts.query, keep_blank_values=True).items()
+        }
+        self.units = float(self.headers.get("winchdyke-units", "1"))
+        self.gateway = self.headers.get("winchdyke-gateway", "-")
+        self.repeat_key = self.headers.get("idempotency-key", "")
+        self.body = bytearray()
+
+    def told(self) -> dict[str, Any]:
+        """What identifies it in the record."""
+        return {
+            "request": self.headers.get("winchdyke-request", "-"),
+            "attempt": int(self.headers.get("winchdyke-attempt", "0")),
+            "gateway": self.gateway,
+            "client": self.headers.get("x-request-id", "-"),
+            "class": self.headers.get("winchdyke-class", "-"),
+            "order": self.headers.get("winchdyke-order-key", ""),
+            "repeat_key": self.repeat_key,
+            "volume": self.volume,
+            "units": self.units,
+            "method": self.method,
+        }
+
+
+class Store:
+    """One store process. ``start`` it in a task group; ``kill`` and start it again as often as wished."""
+
+    def __init__(
+        self, spec: Spec, shelf: Shelf, rack: Rack, meter: Meter, record: Record, seed: int = 0
+    ) -> None:
+        self.spec, self.shelf, self.rack, self.meter, self.record = spec, shelf, rack, meter, record
+        self.random = random.Random(seed)
+        self.port, self.started_unix_ms, self.cold = 0, 0.0, False
+        self.slow, self.lost_share, self.lost_how = 1.0, 0.0, "silence"
+        self.silent = self.draining = self.fallen = False
+        self.paused_until = 0.0
+        self.tricks: deque[str] = deque()
+        self._born = -1e18
+        self._scope: anyio.CancelScope | None = None
+        self._sent: deque[tuple[float, float]] = deque()
+        self._others: defaultdict[str, defaultdict[str, float]] = defaultdict(lambda: defaultdict(float))
+        self._waiting = self._running = 0
+        self._turns: deque[anyio.Event] = deque()
+
+    @property
+    def name(self) -> str:
+        """Its address."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return self._scope is not None
+
+    async def start(self, group: TaskGroup, cold: bool = False) -> None:
+        """Listen, at the port it had before; a cold start has a part of its power at first."""
+        listener = await listen(self.port)
+        self.port = port_of(listener)
+        self.cold, self._born = cold, clock() if cold else -1e18
+        self.silent = self.draining = self.fallen = False
+        self.slow, self.lost_share, self.paused_until = 1.0, 0.0, 0.0
+        self._waiting = self._running = 0
+        self._turns.clear()
+        self._sent.clear()
+        self._scope = anyio.CancelScope()
+        self.record.note(self.name, "up", cold=cold, shard=self.spec.shard)
+
+        async def run(scope: anyio.CancelScope) -> None:
+            with scope:
+                async with anyio.create_task_group() as jobs:
+                    self._jobs = jobs
+                    await accept_all(listener, self._serve)
+
+        group.start_soon(run, self._scope)
+
+    def kill(self) -> None:
+        """End the process at once: work is lost, connections break."""
+        if self._scope is not None:
+            self._scope.cancel()
+            self._scope = None
+            self.record.note(self.name, "down")
+
+    def power(self) -> float:
+        """Units a second at this moment, as the rule on cold stores counts."""
+        age = clock() - self._born
+        if age >= self.spec.warm_ms:
+            return self.spec.power
+        part = self.spec.cold_from + (1 - self.spec.cold_from) * age / self.spec.warm_ms
+        return self.spec.power * part
+
+    def _pressed(self, units: float) -> bool:
+        """Count what a cold store is sent; whether it has now fallen over."""
+        spec, now = self.spec, clock()
+        if now - self._born >= spec.warm_ms:
+            return False
+        self._sent.append((now, units))
+        while self._sent and self._sent[0][0] < now - spec.fall_window_ms:
+            self._sent.popleft()
+        sent = sum(part for _, part in self._sent)
+        most = max(spec.cold_units, spec.fall_multiple * self.power() * spec.fall_window_ms / 1000)
+        if sent > most:
+            by: defaultdict[str, float] = defaultdict(float)
+            self.record.note(self.name, "fallen", sent=sent, most=most, by=by)
+            self.fallen = True
+        return self.fallen
+
+    async def _serve(self, stream: SocketStream) -> None:
+        peer = Peer(stream, h11.SERVER)
+        served = 0
+        if self.tricks and self.tricks[0] == "die-on-accept":
+            self.tricks.popleft()
+            return
+        while True:
+            event = await peer.event()
+            if not isinstance(event, h11.Request):
+                return
+            asked = Asked(event)
+            if self.silent or self.fallen:
+                self.record.note(self.name, "unheard", **asked.told())
+                await anyio.sleep_forever()
+            trick = self.tricks.popleft() if self.tricks else ""
+            self.record.note(self.name, "head", trick=trick, reused=served > 0, **asked.told())
+            if self._pressed(asked.units):
+                await anyio.sleep_forever()
+            if await self._one(peer, asked, trick):
+                return
+            served += 1
+            peer.h11.start_next_cycle()
+            if trick == "close-idle":
+                return
+
+    async def _body(self, peer: Peer, asked: Asked, trick: str) -> bool:
+        if peer.h11.they_are_waiting_for_100_continue:
+            await peer.send(h11.InformationalResponse(status_code=100, headers=[]))
+        while True:
+            event = await peer.event()
+            if isinstance(event, h11.Data):
+                asked.body += event.data
+                if trick == "die-mid-request":
+                    return False
+            elif isinstance(event, h11.EndOfMessage):
+                self.record.note(self.name, "whole", **asked.told())
+                return True
+            else:
+                return False
+
+    async def _one(self, peer: Peer, asked: Asked, trick: str) -> bool:
+        """Serve one request; whether the connection is over."""
+        early = trick == "early-shed"
+        if not early and not await self._body(peer, asked, trick):
+            self.record.note(self.name, "cut", **asked.told())
+            await peer.reset()
+            return True
+        if trick == "die-mid-request":
+            await peer.reset()
+            return True
+        job = self._admit(asked, trick)
+        if job is None:
+            self.record.note(self.name, "shed", **asked.told())
+            headers = [("winchdyke-not-run", "1"), ("content-length", "0"), *self._report(asked)]
+            await peer.send(h11.Response(status_code=503, headers=headers), h11.EndOfMessage())
+            return early
+        await job.done.wait()
+        while self.silent or self.fallen or clock() < self.paused_until:
+            await anyio.sleep(0.005)
+        return await self._say(peer, asked, job, trick)
+
+    async def _say(self, peer: Peer, asked: Asked, job: Job, trick: str) -> bool:
+        lost = self.lost_share and self.random.random() < self.lost_share
+        if trick in ("silence", "reset-after-run", "die-after-run") or lost:
+            how = self.lost_how if lost else {"silence": "silence"}.get(trick, "reset")
+            self.record.note(self.name, "lost", how=how, **asked.told())
+            if how == "silence":
+                await anyio.sleep_forever()
+            await peer.reset()
+            return True
+        headers = [*job.headers, *self._report(asked)]
+        body = job.body
+        if trick == "wrong-range":
+            headers = [(name, "bytes 0-0/1" if name == "content-range" else value) for name, value in headers]
+        head = h11.Response(status_code=job.status, headers=headers)
+        if trick in ("die-mid-head", "no-http", "die-mid-answer", "short-answer", "long-answer", "trickle"):
+            return await self._break(peer, asked, head, body, trick)
+        events: list[h11.Event] = [head]
+        if body and asked.method != "HEAD":
+            events.append(h11.Data(data=body))
+        self.record.note(self.name, "answered", status=job.status, **asked.told())
+        await peer.send(*events, h11.EndOfMessage())
+        return False
+
+    async def _break(self, peer: Peer, asked: Asked, head: h11.Response, body: bytes, trick: str) -> bool:
+        self.record.note(self.name, "lost", how=trick, **asked.told())
+        raw = peer.h11.send(head) or b""
+        if trick == "die-mid-head":
+            await peer.stream.send(raw[: len(raw) // 2])
+        elif trick == "no-http":
+            await peer.stream.send(b"SSH-2.0-not-what-you-asked-for\r\n\r\n")
+        elif trick == "long-answer":
+            await peer.stream.send(raw + body + b"and more than was stated")
+            await anyio.sleep(0.02)
+        elif trick == "trickle":
+            for at in range(0, len(raw + body), 16):
+                await peer.stream.send((raw + body)[at : at + 16])
+                await anyio.sleep(0.01)
+            return True
+        else:
+            await peer.stream.send(raw + body[: len(body) // 2])
+            await anyio.sleep(0.02)
+        if trick == "die-mid-answer":
+            await peer.reset()
+        return True
+
+    def _admit(self, asked: Asked, trick: str) -> Job | None:
+        now, known = clock(), self.rack.known
+        for key in [key for key, (until, _) in known.items() if until < now]:
+            del known[key]
+        memory = f"{asked.volume}\0{asked.repeat_key}" if asked.repeat_key else ""
+        if memory in known:
+            self.record.note(self.name, "repeat", **asked.told())
+            return known[memory][1]
+        if trick in ("shed", "early-shed") or self.draining or self._waiting >= self.spec.queue:
+            return None
+        job = Job()
+        if memory:
+            known[memory] = (now + self.spec.memory_ms, job)
+        self._jobs.start_soon(self._work, asked, job, trick)
+        return job
+
+    async def _work(self, asked: Asked, job: Job, trick: str) -> None:
+        self._waiting += 1
+        if self._running >= self.spec.cores:
+            turn = anyio.Event()
+            self._turns.append(turn)
+            await turn.wait()
+        else:
+            self._running += 1
+        self._waiting -= 1
+        self.record.note(self.name, "run", **asked.told())
+        power = self.power() / self.spec.power
+        await anyio.sleep(asked.units * self.spec.unit_ms / self.spec.speed / power * self.slow / 1000)
+        while clock() < self.paused_until:
+            await anyio.sleep(0.005)
+        if trick == "error":
+            job.status, job.headers, job.body = 500, [("content-length", "0")], b""
+        else:
+            self._apply(asked, job)
+        self.meter.add(asked.volume, asked.units)
+        for gateway in self._others[asked.volume]:
+            if gateway != asked.gateway:
+                self._others[asked.volume][gateway] += asked.units
+        if self._turns:
+            self._turns.popleft().set()
+        else:
+            self._running -= 1
+        job.done.set()
+
+    def _report(self, asked: Asked) -> list[tuple[str, str]]:
+        others = self._others[asked.volume].setdefault(asked.gateway, 0.0)
+        self._others[asked.volume][asked.gateway] = 0.0
+        load = f"{min(1.0, self._running / self.spec.cores):.2f},{self._waiting}"
+        used = self.meter.percent(asked.volume, self.spec.usual_rate)
+        return [
+            ("winchdyke-used-percent", str(used)), ("winchdyke-from-others", f"{others:g}"), ("winchdyke-load", load),
+        ]  # fmt: skip
+
+    # The objects themselves.
+
+    def _apply(self, asked: Asked, job: Job) -> None:
+        if asked.method not in ("GET", "HEAD"):
+            self.record.note(self.name, "effect", object=asked.key, query=sorted(asked.query), **asked.told())
+        if not asked.key:
+            self._list(asked, job)
+        elif "uploads" in asked.query or "uploadId" in asked.query:
+            self._multipart(asked, job)
+        elif asked.method == "PUT":
+            self._put(asked, job)
+        elif asked.method == "DELETE":
+            found = self.shelf.objects.pop((asked.volume, asked.key), None)
+            self._answer(job, 204 if found else 404)
+        else:
+            self._get(asked, job)
+
+    @staticmethod
+    def _answer(
+        job: Job, status: int, body: bytes = b"", headers: list[tuple[str, str]] | None = None
+    ) -> None:
+        job.status, job.body = status, body
+        job.headers = [*(headers or [])]
+        if status != 204:
+            job.headers.append(("content-length", str(len(body))))
+
+    def _put(self, asked: Asked, job: Job) -> None:
+        where = (asked.volume, asked.key)
+        have = self.shelf.objects.get(where)
+        wanted, unless = asked.headers.get("if-match"), asked.headers.get("if-none-match")
+        if (wanted and (not have or wanted not in ("*", have[1]))) or (
+            unless and have and unless in ("*", have[1])
+        ):
+            self._answer(job, 412)
+            return
+        data = bytes(asked.body)
+        tag = f'"{hashlib.md5(data, usedforsecurity=False).hexdigest()}"'
+        self.shelf.objects[where] = (data, tag)
+        self._answer(
+            job, 200 if have else 201, b"", [("etag", tag), ("location", f"/{asked.volume}/{asked.key}")]
+        )
+
+    def _get(self, asked: Asked, job: Job) -> None:
+        have = self.shelf.objects.get((asked.volume, asked.key))
+        if have is None:
+            self._answer(job, 404)
+            return
+        data, tag = have
+        wanted, unless = asked.headers.get("if-match"), asked.headers.get("if-none-match")
+        if wanted and wanted not in ("*", tag):
+            self._answer(job, 412)
+            return
+        if unless and unless in ("*", tag):
+            self._answer(job, 304, b"", [("etag", tag)])
+            job.headers = [("etag", tag)]
+            return
+        headers = [("etag", tag), ("accept-ranges", "bytes"), ("content-type", "application/octet-stream")]
+        asked_range = asked.headers.get("range")
+        if asked_range and asked.headers.get("if-range") in (None, tag):
+            first, _, last = asked_range.removeprefix("bytes=").partition("-")
+            begin = max(0, len(data) - int(last)) if not first else int(first)
+            end = min(len(data), int(last) + 1) if first and last else len(data)
+            if begin >= len(data) or (not first and last == "0"):
+                self._answer(job, 416, b"", [("content-range", f"bytes */{len(data)}")])
+                return
+            headers.append(("content-range", f"bytes {begin}-{end - 1}/{len(data)}"))
+            self._answer(job, 206, data[begin:end], headers)
+            return
+        self._answer(job, 200, data, headers)
+
+    def _multipart(self, asked: Asked, job: Job) -> None:
+        uploads, upload = self.shelf.uploads, asked.query.get("uploadId", "")
+        if "uploads" in asked.query:
+            self.shelf.made += 1
+            upload = f"u{self.spec.shard}-{self.shelf.made}"
+            uploads[upload] = (asked.volume, asked.key, {})
+            self._json(job, 200, {"uploadId": upload})
+            return
+        if upload not in uploads or uploads[upload][:2] != (asked.volume, asked.key):
+            self._json(job, 404, {"message": "no such upload"})
+            return
+        parts = uploads[upload][2]
+        if asked.method == "PUT":
+            data = bytes(asked.body)
+            parts[int(asked.query["partNumber"])] = data
+            self._answer(
+                job, 200, b"", [("etag", f'"{hashlib.md5(data, usedforsecurity=False).hexdigest()}"')]
+            )
+        elif asked.method == "GET":
+            self._json(
+                job, 200, {"parts": [{"partNumber": n, "size": len(d)} for n, d in sorted(parts.items())]}
+            )
+        elif asked.method == "DELETE":
+            del uploads[upload]
+            self._answer(job, 204)
+        else:
+            try:
+                wanted = json.loads(bytes(asked.body) or b"{}").get("parts", sorted(parts))
+            except ValueError:
+                wanted = None
+            if not wanted or any(number not in parts for number in wanted) or sorted(wanted) != wanted:
+                self._json(job, 400, {"message": "the parts named are not those that were put, in order"})
+                return
+            asked.body = bytearray(b"".join(parts[number] for number in wanted))
+            del uploads[upload]
+            self._put(asked, job)
+
+    def _list(self, asked: Asked, job: Job) -> None:
+        prefix, after = asked.query.get("prefix", ""), asked.query.get("after", "")
+        limit = int(asked.query.get("limit", "1000"))
+        here = {key: value for (volume, key), value in self.shelf.objects.items() if volume == asked.volume}
+        keys = sorted(key for key in here if key.startswith(prefix) and key > after)
+        shown = keys[:limit]
+        objects = [{"key": key, "size": len(here[key][0]), "etag": here[key][1]} for key in shown]
+        self._json(job, 200, {"objects": objects, "next": shown[-1] if len(keys) > limit else None})
+
+    def _json(self, job: Job, status: int, value: object) -> None:
+        self._answer(job, status, json.dumps(value).encode(), [("content-type", "application/json")])
--- /dev/null
+++ b/winchdyke/standins/wire.py
@@ -0,0 +1,89 @@
+"""HTTP for stand-ins: h11 over a socket, with what a test needs to break it at any point."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketListener, SocketStream
+
+LOST = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+    h11.RemoteProtocolError,
+)
+
+
+class Peer:
+    """One connection, in either role."""
+
+    def __init__(self, stream: SocketStream, role: type[h11.SERVER] | type[h11.CLIENT]) -> None:
+        self.stream, self.h11 = stream, h11.Connection(role, max_incomplete_event_size=256 * 1024)
+
+    async def event(self) -> h11.Event:
+        """The next event; LOST where the peer is gone in the middle."""
+        while True:
+            event = self.h11.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    self.h11.receive_data(await self.stream.receive(262144))
+                except anyio.EndOfStream:
+                    self.h11.receive_data(b"")
+            else:
+                return event  # type: ignore[return-value]
+
+    async def send(self, *events: h11.Event) -> None:
+        """Send events in one piece."""
+        await self.stream.send(b"".join(self.h11.send(event) or b"" for event in events))
+
+    async def reset(self) -> None:
+        """Break the connection with a TCP reset."""
+        raw = self.stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await anyio.aclose_forcefully(self.stream)
+
+
+async def listen(port: int = 0) -> SocketListener:
+    """A listener on loopback; the system chooses the port, or the same one is taken again."""
+    for attempt in range(50):
+        try:
+            multi = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port, backlog=512)
+        except OSError:
+            if not port or attempt == 49:
+                raise
+            await anyio.sleep(0.02)
+        else:
+            return multi.listeners[0]  # type: ignore[return-value]
+    raise AssertionError
+
+
+def port_of(listener: SocketListener) -> int:
+    """The port that a listener has."""
+    return int(listener.extra(SocketAttribute.local_port))
+
+
+async def accept_all(listener: SocketListener, serve: Callable[[SocketStream], Awaitable[None]]) -> None:
+    """Serve every connection until cancelled; then all are closed."""
+
+    async def one(stream: SocketStream) -> None:
+        try:
+            await serve(stream)
+        except (*LOST, ExceptionGroup):
+            pass
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    async with listener, anyio.create_task_group() as group:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError:
+                await anyio.sleep(0.02)
+                continue
+            group.start_soon(one, stream)
