--- /dev/null
+++ b/benchmarks/passthrough.py
@@ -0,0 +1,61 @@
+"""A proxy of the gateway's own HTTP parts that decides nothing: the measure for what deciding costs.
+
+Same listener, connections, parser, pool and attempts; no scheduler, no checks of what is asked, no access log.
+
+    python benchmarks/passthrough.py STORE_PORT [STORE_PORT ...]      prints its port
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+
+import anyio
+
+from winchdyke.config import defaults, parse
+from winchdyke.gateway import logs
+from winchdyke.gateway.attempts import Attempt, Outgoing
+from winchdyke.gateway.bodies import BodyStore, ReplayBody
+from winchdyke.gateway.clients import ClientConnection
+from winchdyke.gateway.daemon import Gateway
+from winchdyke.http1 import RequestHead
+from winchdyke.objects import answers
+
+
+class PassThrough:
+    """In the place of the service: every request goes to the store that its path's hash names."""
+
+    def __init__(self, gateway: Gateway, nodes: list[str]) -> None:
+        self.nodes, self.pool, self.limits = nodes, gateway.pool, gateway.config.limits
+        self.clock = gateway.engine.clock
+        self.bodies = BodyStore(1 << 30, 1 << 18)
+        self.stopping, self.active = False, 0
+
+    async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
+        """Send it on, and the answer back."""
+        connection.begin([], close=False)
+        connection.unread_length = head.length
+        body = None
+        if head.length != 0:
+            body = ReplayBody(connection.body, head.length, self.bodies, keep=False)
+        node = self.nodes[hash(head.target) % len(self.nodes)]
+        attempt = Attempt(self.pool, self.clock, 30_000.0, connection, lambda: None, lambda _: True)
+        ended = await attempt.run(node, Outgoing(head.method, head.target, head.headers, body), 30_000.0)
+        if ended.answer is not None:
+            await connection.pass_on(ended.answer.head, ended.answer.body)
+        elif not ended.relayed:
+            await connection.answer(*answers.error(502, "failed", "store-reset", "-", ""))
+
+
+async def main(ports: list[str]) -> None:
+    logs.set_up("none")
+    config = parse(defaults(), "defaults.ini")
+    nodes = dataclasses.replace(config.nodes, must_ask=True)
+    gateway = Gateway(dataclasses.replace(config, nodes=nodes))
+    gateway.service = PassThrough(gateway, [f"127.0.0.1:{port}" for port in ports])
+    gateway.follower.ask = gateway.engine.watch = lambda: None
+    await gateway.run(lambda: print(gateway.address[1], flush=True))
+
+
+if __name__ == "__main__":
+    anyio.run(main, sys.argv[1:])
