--- a/tests/rig.py
+++ b/tests/rig.py
@@ -141,6 +141,10 @@
         volume, _, key = path[1:].partition("/")
         return self.stores[shard_of(volume, key, range(len(self.stores)))]
 
+    def gateway_streams(self) -> list[Any]:
+        """The streams of the clients' connections, at the gateway's side."""
+        return [connection._stream for connection in self.gateway._connections]
+
     async def until(self, done: Callable[[], bool], seconds: float = 5.0) -> None:
         """Wait for something to be so."""
         with anyio.fail_after(seconds):
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -134,7 +134,7 @@
     engine.post(api.ClientGone("nobody"))
     engine.turn()
     assert list(ticket.actions) == [api.Fail("a")]
-    assert ticket.faulted and not engine.tickets
+    assert ticket.fault == "engine-fault" and not engine.tickets
     now[0] = 100.0
     engine.turn()
     assert schedulers[1].batches == [(100.0, [api.NodeList(api.ListKind.CACHED, (node,))])]
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import resource
+import socket
 import time
 
 import anyio
@@ -496,3 +497,35 @@
             assert {event.node for event in it.ended[before:]} == {fresh.name}
 
     run()
+
+
+def test_a_client_that_sends_faster_than_its_store_takes_is_held_back():
+    """What a gateway reads ahead of a store that reads nothing stays bounded; memory once followed the client."""
+
+    @played
+    async def run():
+        async with rig(listing=False) as it:
+            # Held by the scheduler's list: nobody reads the body at all.
+            deaf = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = deaf.extra(anyio.abc.SocketAttribute.local_port)
+            node = api.Node(f"127.0.0.1:{port}", api.NodeState.READY, it.where(READ).spec.shard)
+            it.gateway.engine.post(api.NodeList(api.ListKind.FULL, (node,)))
+            sock = socket.create_connection(it.gateway.address)
+            head = b"PUT /school-1/object HTTP/1.1\r\nhost: t\r\ncontent-length: 900000000\r\n\r\n"
+            sock.sendall(
+                head + b"x" * 200_000
+            )  # there before the gateway's first read: the case that never paused
+            sock.setblocking(False)
+            sent, until = 0, anyio.current_time() + 1.0
+            while anyio.current_time() < until:
+                try:
+                    sent += sock.send(b"x" * 262144)
+                except BlockingIOError:
+                    await anyio.sleep(0.001)
+            assert 1_000_000 < sent < 40_000_000, "bounded by the sockets' buffers, not by the client"
+            queued = sum(len(chunk) for chunk in it.gateway_streams()[0]._protocol.read_queue)
+            assert queued < 2_000_000
+            sock.close()
+            await deaf.aclose()
+
+    run()
--- a/winchdyke/gateway/bodies.py
+++ b/winchdyke/gateway/bodies.py
@@ -6,13 +6,25 @@
 
 from __future__ import annotations
 
+import os
 import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import IO
 
 import anyio.to_thread
 
 BATCH = 1 << 20  # bytes handed to a file at once, off the event loop
+WRITERS = ThreadPoolExecutor(4, thread_name_prefix="winchdyke-body")
+
+
+def _write(file: IO[bytes], chunks: list[bytes]) -> None:
+    left = sum(len(chunk) for chunk in chunks)
+    done = os.writev(file.fileno(), chunks)
+    if done < left:  # a file takes all but where the disk is full; then this raises
+        rest = b"".join(chunks)[done:]
+        while rest:
+            rest = rest[os.write(file.fileno(), rest) :]
 
 
 class BodyStoreFull(Exception):
@@ -50,7 +62,11 @@
         store.take(self._room)
         self._memory = bytearray()
         self._file: IO[bytes] | None = None
-        self._pending = bytearray()  # for the file, not yet written
+        self._pending: list[bytes] = []  # for the file, not yet handed over
+        self._pending_size = 0
+        self._writing: Future[None] | None = (
+            None  # at most one batch is being written while the next one comes
+        )
         self.got, self.whole = 0, length == 0
         self.started = False
 
@@ -71,19 +87,27 @@
             return data
         if self._file is None:
             try:
-                self._file = tempfile.TemporaryFile(prefix="winchdyke-body-")  # noqa: SIM115
+                self._file = tempfile.TemporaryFile(prefix="winchdyke-body-", buffering=0)  # noqa: SIM115
             except OSError as error:
                 raise BodyStoreFull from error
-        self._pending += data
-        if len(self._pending) >= BATCH:
-            await self._flush()
+        self._pending.append(data)
+        self._pending_size += len(data)
+        if self._pending_size >= BATCH:
+            await self._written()
+            self._writing = WRITERS.submit(_write, self._file, self._pending)
+            self._pending, self._pending_size = [], 0
         return data
 
-    async def _flush(self) -> None:
-        assert self._file is not None
-        batch, self._pending = self._pending, bytearray()
+    async def _written(self) -> None:
+        """Wait until what was handed over is in the file."""
+        writing, self._writing = self._writing, None
+        if writing is None:
+            return
         try:
-            await anyio.to_thread.run_sync(self._file.write, batch)
+            if writing.done():
+                writing.result()
+            else:
+                await anyio.to_thread.run_sync(writing.result)
         except OSError as error:
             raise BodyStoreFull from error
 
@@ -95,8 +119,11 @@
             yield bytes(self._memory)
         at = len(self._memory)
         if self._file is not None and at < self.got:
+            await self._written()
             if self._pending:
-                await self._flush()
+                self._writing = WRITERS.submit(_write, self._file, self._pending)
+                self._pending, self._pending_size = [], 0
+                await self._written()
             self._file.seek(0)
             left = self.got - at
             while left:
@@ -120,6 +147,9 @@
         self._room, self._keep = 0, False
         self._memory.clear()
         self._pending.clear()
-        if self._file is not None:
-            self._file.close()
-            self._file = None
+        file, self._file = self._file, None
+        if file is not None:
+            # A batch may still be under way in a thread: the file is closed after it.
+            WRITERS.submit(file.close) if self._writing is None else self._writing.add_done_callback(
+                lambda _: file.close()
+            )
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -24,8 +24,10 @@
 class ClientConnection:
     """A connection, and the answer that is under way on it."""
 
-    def __init__(self, stream: SocketStream, limits: Limits) -> None:
-        self._stream, self._limits = stream, limits
+    def __init__(self, stream: SocketStream, limits: Limits, clock: Callable[[], float]) -> None:
+        self._stream, self._limits, self._clock = stream, limits, clock
+        self.due = float("inf")  # when what is under way with the client takes too long
+        self._expired = self._sending = False
         self.codec = ServerSide(limits.header_bytes)
         self.on_gone: Callable[[], None] | None = None
         self.eof = self.close_after = self.idle = False
@@ -135,16 +137,26 @@
         self._fed = anyio.Event()
         await self._fed.wait()
 
+    async def expire(self) -> None:
+        """What is under way with the client has taken too long: a head is told so, an answer is cut."""
+        self._expired, self.due = True, float("inf")
+        self._fed.set()
+        if self._sending:
+            await anyio.aclose_forcefully(self._stream)
+
     async def _next_head(self) -> RequestHead | None:
+        # One sweep over all connections looks at ``due``: cheaper than a timer for each step of each request.
         head = self.codec.head()
         if head is NEED and not self.eof:
             self.idle = True
-            with anyio.move_on_after(self._limits.idle_timeout / 1000):
+            self.due = self._clock() + self._limits.idle_timeout
+            while head is NEED and not self.eof and not self._expired:
                 await self._until_fed()
-            self.idle = False
-            with anyio.move_on_after(self._limits.header_timeout / 1000):
-                while (head := self.codec.head()) is NEED and not self.eof:
-                    await self._until_fed()
+                if self.idle and not self._expired:
+                    self.idle = False
+                    self.due = self._clock() + self._limits.header_timeout
+                head = self.codec.head()
+            self.idle, self.due = False, float("inf")
             if head is NEED and not self.eof and self._heard:
                 raise ProtocolError(408, "head-slow", "the request's head did not arrive in time")
         self._heard = False
@@ -167,12 +179,17 @@
             await self._until_fed()
 
     async def _send(self, data: bytes) -> None:
+        self._sending, self.due = True, self._clock() + self._limits.stream_idle
         try:
-            with anyio.fail_after(self._limits.stream_idle / 1000):
-                await self._stream.send(data)
+            await self._stream.send(data)
         except LOST as error:
             self.close_after = True
             raise ClientLeft from error
+        finally:
+            self._sending, self.due = False, float("inf")
+        if self._expired:
+            self.close_after = True
+            raise ClientLeft
 
     def begin(self, extra: Headers, close: bool) -> None:
         """Set the headers that every answer to this request carries."""
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -24,6 +24,7 @@
 ACCEPT_PAUSE_S = 0.05  # before the next accept where no descriptor is left
 STOP_SLACK_S = 1.0  # beyond the longest deadline, for what is still out at a stop
 BACKLOG = 1024
+SWEEP_S = 0.1  # between looks at connections and tickets that are overdue
 
 
 class StartError(Exception):
@@ -65,6 +66,7 @@
             group.start_soon(self.engine.run)
             self.engine.post(api.NodeList(api.ListKind.CACHED))
             group.start_soon(self.follower.run)
+            group.start_soon(self._sweep)
             accepting = anyio.CancelScope()
             group.start_soon(self._accept, listener, accepting, group)
             self._log.info(
@@ -106,10 +108,11 @@
                         self._log.warning("accept", error=error.strerror)
                         await anyio.sleep(ACCEPT_PAUSE_S)
                         continue
+                    _hold_back(stream)
                     group.start_soon(self._connection, stream)
 
     async def _connection(self, stream: SocketStream) -> None:
-        connection = ClientConnection(stream, self.config.limits)
+        connection = ClientConnection(stream, self.config.limits, self.engine.clock)
         if len(self._connections) >= self.config.limits.connections:
             connection.close_after = True
             text = "this gateway holds as many connections as it may; come back later"
@@ -124,6 +127,14 @@
         finally:
             self._connections.discard(connection)
 
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_S)
+            now = self.engine.clock()
+            for connection in [each for each in self._connections if each.due <= now]:
+                await connection.expire()
+            self.engine.answer_overdue(now)
+
     async def _drain(self) -> None:
         self.service.stopping = True
         for connection in list(self._connections):
@@ -136,6 +147,15 @@
             self._log.warning("stop-cut", connections=len(self._connections))
 
 
+def _hold_back(stream: SocketStream) -> None:
+    # Guards against memory without bound from a client that sends faster than its store takes. anyio's asyncio
+    # streams pause the transport after a read that had to wait, and those it dials from the start; one that it
+    # accepts reads on until then, which may be never. Nothing public reaches the transport.
+    transport = getattr(stream, "_transport", None)
+    if transport is not None:
+        transport.pause_reading()
+
+
 async def serve(
     config: Config, started: Callable[[Gateway], Awaitable[None] | None] = lambda _: None
 ) -> None:
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -19,6 +19,7 @@
 from winchdyke.policy import Scheduler
 
 Told = api.Send | api.Refuse | api.Fail | api.Cancel
+OVERDUE_MS = 200.0  # past a request's time after which the engine answers without the scheduler
 
 
 def monotonic_ms() -> float:
@@ -43,7 +44,7 @@
         "attempts_out",
         "closed",
         "end",
-        "faulted",
+        "fault",
         "gone",
         "id",
         "on_cancel",
@@ -53,7 +54,8 @@
         self.id, self.end = request, end
         self.actions: deque[Told] = deque()
         self.attempts = self.attempts_out = 0
-        self.gone = self.closed = self.faulted = False
+        self.gone = self.closed = False
+        self.fault = ""  # why the engine answered in the scheduler's place
         self.on_cancel: Callable[[int], None] | None = None
         self._wake: anyio.Event | None = None
 
@@ -206,13 +208,23 @@
         # where one bad request faults it again and again: each time all others fail with it.
         self.counts["faults"] += 1
         self._log.error("engine-fault", error=repr(error), held=len(self.tickets), exc_info=error)
-        tickets, self.tickets = self.tickets, {}
         self._inbox, self._timers = [event for event in self._inbox if isinstance(event, api.NodeList)], []
-        for ticket in tickets.values():
-            ticket.closed = ticket.faulted = True
-            ticket.actions.clear()
-            ticket.tell(api.Fail(ticket.id))
-            if ticket.on_cancel is not None:
-                ticket.on_cancel(-1)
+        for ticket in list(self.tickets.values()):
+            self._answer(ticket, "engine-fault")
         self._scheduler = self._begin()
         self.post(api.NodeList(api.ListKind.CACHED, tuple(self.nodes.values())))
+
+    def _answer(self, ticket: Ticket, why: str) -> None:
+        del self.tickets[ticket.id]
+        ticket.closed, ticket.fault = True, why
+        ticket.actions.clear()
+        ticket.tell(api.Fail(ticket.id))
+        if ticket.on_cancel is not None:
+            ticket.on_cancel(-1)
+
+    def answer_overdue(self, now: float) -> None:
+        """Answer what is held with no attempt out past its time: a scheduler that says nothing, whatever the cause."""
+        for ticket in [t for t in self.tickets.values() if now > t.end + OVERDUE_MS and not t.attempts_out]:
+            self.counts["overdue"] += 1
+            self._answer(ticket, "engine-silent")
+            self.post(api.ClientGone(ticket.id))
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -24,7 +24,6 @@
 from winchdyke.objects import answers, listing, ranges, routes, storewire
 from winchdyke.objects.answers import RequestError
 
-BACKSTOP_MS = 250.0  # past a request's time after which the gateway answers without the scheduler
 BODIES = ("put", "post", "put-part", "complete-upload")
 
 
@@ -191,7 +190,7 @@
         if operation.name != "post":
             shard = placement.shard_of(operation.volume, operation.key, volume.shards)
             ask = _at(ask, shard)
-        stem = uuid.uuid4().hex
+        stem = uuid.uuid4().hex if operation.name == "post" else ""
         ticket = self.engine.take(ask)
 
         def outgoing(node: str, number: int) -> Outgoing:
@@ -269,19 +268,20 @@
         self._watch_client(connection, ticket, running)
         while True:
             since = self.clock()
-            action: object = None
-            with anyio.move_on_after(max(0.0, ticket.end + BACKSTOP_MS - since) / 1000) as backstop:
-                action = await ticket.next()
+            action = await ticket.next()
             record.held_ms += self.clock() - since
-            if backstop.cancelled_caught:
-                self.engine.gone(ticket)
-                return Final(504, "failed", "engine-silent")
             if action is None:
                 return Final(0, "gone", "client-gone")
             if isinstance(action, (api.Refuse, api.Fail)):
                 status, outcome, reason = outcomes.final(action, last, self.clock() >= ticket.end - 5.0)
                 after = action.retry_after_ms if isinstance(action, api.Refuse) else None
-                return Final(status, outcome, "engine-fault" if ticket.faulted else reason, "", after)
+                return Final(
+                    504 if ticket.fault == "engine-silent" else status,
+                    outcome,
+                    ticket.fault or reason,
+                    "",
+                    after,
+                )
             if not isinstance(action, api.Send):
                 continue
             ended = await self._attempt(ticket, action, outgoing, operation, sink, running)
