--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -42,13 +42,13 @@
 operations = get head list
 worth = 2
 aim = 400ms
-deadline = 30s
+deadline = 3s
 effect = idempotent
 [class submit]
 operations = put post delete
 worth = 3
 aim = 500ms
-deadline = 30s
+deadline = 3s
 effect = keyed
 memory = 4s
 writes = yes
--- a/benchmarks/lean.py
+++ b/benchmarks/lean.py
@@ -149,7 +149,9 @@
 
         await asyncio.gather(*(turn(number) for number in range(int(size))))
     else:
+        idle += [await connect() for _ in range(32)]  # connecting is not what is measured
         draw, tasks, due, number = random.Random(1), set(), time.perf_counter(), 0
+        until = due + seconds
 
         async def arrive(number: int, since: float) -> None:
             client = idle.pop() if idle else await connect()
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -8,10 +8,13 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
+from pathlib import Path
 
+import anyio
 import msgspec
 import pytest
 from click.testing import CliRunner
@@ -183,3 +186,37 @@
     finally:
         dev.terminate()
         assert dev.wait(10) == 0
+
+
+def test_sigterm_with_200_requests_out_answers_them_all():
+    """A real process: 200 requests are out or held as it is told to stop."""
+    from winchdyke.days.judge import Judge
+    from winchdyke.days.run import Fleet
+    from winchdyke.standins.clients import Clients, Wish
+
+    day = msgspec.structs.replace(script.quiet_day(1), gateways=1, unit_ms=100.0, cores=4, volumes=[])
+    volume = script.Volume("course", "contest", list(range(8)), [0], 0.0)
+    day = msgspec.structs.replace(day, volumes=[volume])
+
+    async def play(where) -> Fleet:
+        async with anyio.create_task_group() as group:
+            fleet = Fleet(day, where, group)
+            await fleet.start()
+            clients = Clients(fleet.record, lambda index: fleet.addresses[index], 1)
+            wishes = [Wish(0.0, 0, "GET", f"/course/k{n}", class_name="fetch", tries=1) for n in range(200)]
+            async with anyio.create_task_group() as both:
+                clients.start(both, wishes)
+                await anyio.sleep(0.4)
+                tries = sum(seen["what"] == "try" for seen in fleet.record.seen)
+                over = sum(seen["what"] == "answer" for seen in fleet.record.seen)
+                assert (tries, over < 150) == (200, True)
+                await fleet.stop()
+            group.cancel_scope.cancel()
+        return fleet
+
+    with tempfile.TemporaryDirectory() as where:
+        fleet = anyio.run(play, Path(where))
+    verdict = Judge(day, fleet.record.seen).verdict()
+    assert fleet.ends == [0]
+    assert verdict.kept, report(day, verdict)
+    assert verdict.figures["served"] + verdict.figures["refused"] + verdict.figures["failed"] == 200
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -529,3 +529,38 @@
             await deaf.aclose()
 
     run()
+
+
+def test_an_unforeseen_fault_in_the_gateway_is_answered_and_leaves_nothing_behind(monkeypatch):
+    @played
+    async def run():
+        async with rig() as it:
+
+            async def fault(*_: object) -> None:
+                raise ArithmeticError("by design")
+
+            with monkeypatch.context() as patched:
+                patched.setattr("winchdyke.gateway.pool.Pool.get", fault)
+                answer = await it.ask("PUT", READ, b"x")
+            assert (answer.status, answer.reason) == (500, "internal")
+            assert b"ArithmeticError" not in answer.body
+            assert not it.gateway.engine.tickets
+            assert it.outcomes == ["CANCELLED"]
+            assert (await it.ask("PUT", READ, b"x")).status == 201
+
+    run()
+
+
+def test_an_old_copy_of_the_list_is_followed_by_what_changed_since():
+    @played
+    async def run():
+        async with rig(listing=False) as it:
+            it.list.keep_old_copy()
+            await it.list.set(it.stores[0].name, "draining", 0, "hall-a")
+            await it.list.start(it.group)
+            await it.until(lambda: len(it.gateway.engine.nodes) == 8)
+            kinds = [event.kind for event in it.events if isinstance(event, api.NodeList)]
+            assert api.ListKind.CACHED in kinds
+            await it.until(lambda: it.gateway.engine.nodes[it.stores[0].name].state is api.NodeState.DRAINING)
+
+    run()
--- /dev/null
+++ b/winchdyke/cli/standin.py
@@ -0,0 +1,157 @@
+"""``winchdyke standin``: a store, a list service or clients by themselves, to try a gateway against."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import re
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import click
+
+from winchdyke.cli.common import FILE
+from winchdyke.standins.record import Record
+
+
+@click.group("standin")
+def command() -> None:
+    """Stand-ins on loopback. They end at Ctrl-C, and write what they saw where --record names a file."""
+
+
+def _address(text: str) -> tuple[str, int]:
+    found = re.fullmatch(r"(?:http://)?(127\.0\.0\.1|localhost):(\d{1,5})/?", text)
+    if not found:
+        raise click.ClickException(f"{text!r} is not a loopback address like 127.0.0.1:8080")
+    return "127.0.0.1", int(found[2])
+
+
+RECORD = click.option(
+    "--record", "out", type=FILE, help="Write what was seen here, as JSON lines, at the end."
+)
+
+
+@command.command("store")
+@click.option(
+    "--shard",
+    "shards",
+    type=int,
+    multiple=True,
+    default=(0,),
+    help="One store for each; several may be given.",
+)
+@click.option("--unit-ms", type=click.FloatRange(0.1), default=8.0, show_default=True, help="Work of a unit.")
+@click.option("--cores", type=click.IntRange(1), default=2, show_default=True)
+@click.option(
+    "--queue", type=click.IntRange(0), default=64, show_default=True, help="Requests that may wait."
+)
+@click.option("--cold", is_flag=True, help="Start cold: a part of the power at first.")
+@click.option("--slow", type=click.FloatRange(1), default=1.0, help="How many times slower.")
+@click.option("--lose", type=click.FloatRange(0, 1), default=0.0, help="Share of answers that are lost.")
+@RECORD
+def store(
+    shards: tuple[int, ...],
+    unit_ms: float,
+    cores: int,
+    queue: int,
+    cold: bool,
+    slow: float,
+    lose: float,
+    out: Path | None,
+) -> None:
+    """Run stores and print their addresses: ADDRESS SHARD, a line each."""
+    from winchdyke.standins.store import Meter, Rack, Shelf, Spec, Store
+
+    record = Record()
+
+    async def run() -> None:
+        meter, rack = Meter(), Rack()
+        async with anyio.create_task_group() as group:
+            for shard in shards:
+                spec = Spec(shard, unit_ms=unit_ms, cores=cores, queue=queue)
+                made = Store(spec, Shelf(), rack, meter, record, seed=shard)
+                await made.start(group, cold)
+                made.slow, made.lost_share = slow, lose
+                click.echo(f"{made.name} {shard}")
+
+    _until_stopped(run, record, out)
+
+
+@command.command("nodes")
+@click.argument("nodes", nargs=-1, required=True, metavar="ADDRESS=SHARD...")
+@click.option("--late", type=click.FloatRange(0), default=0.0, help="Milliseconds that changes take to show.")
+@RECORD
+def nodes(nodes: tuple[str, ...], late: float, out: Path | None) -> None:
+    """Run a list service that lists the stores at ADDRESS, each ready with its SHARD; prints its own address."""
+    from winchdyke.standins.nodelist import ListService
+
+    record = Record()
+    listed = []
+    for entry in nodes:
+        address, _, shard = entry.partition("=")
+        if not shard.isdigit():
+            raise click.ClickException(f"{entry!r} is not ADDRESS=SHARD, as in 127.0.0.1:5003=0")
+        listed.append((_address(address), int(shard)))
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            service = ListService(record)
+            await service.start(group)
+            for (host, port), shard in listed:
+                await service.set(f"{host}:{port}", "ready", shard, "hall-a")
+            service.late_ms = late
+            click.echo(f"http://127.0.0.1:{service.port}/nodes")
+
+    _until_stopped(run, record, out)
+
+
+@command.command("clients")
+@click.argument("gateways", nargs=-1, required=True, metavar="ADDRESS...")
+@click.option(
+    "--rate", type=click.FloatRange(0.1, 2000), default=50.0, show_default=True, help="Requests a second."
+)
+@click.option("--seconds", type=click.FloatRange(0.1, 600), default=10.0, show_default=True)
+@click.option("--volume", default="school-1", show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@RECORD
+def clients(
+    gateways: tuple[str, ...], rate: float, seconds: float, volume: str, seed: int, out: Path | None
+) -> None:
+    """Load gateways: a third writes, two thirds reads, open loop; prints what came of it."""
+    from winchdyke.standins.clients import Clients, Wish
+
+    addresses = [_address(gateway) for gateway in gateways]
+    record, draw = Record(), random.Random(seed)
+    wishes, at = [], 0.0
+    while (at := at + draw.expovariate(rate) * 1000) < seconds * 1000:
+        write = draw.random() < 1 / 3
+        path, where = f"/{volume}/object-{draw.randrange(50)}", draw.randrange(len(addresses))
+        wishes.append(Wish(at, where, "PUT" if write else "GET", path, 1024 if write else 0, keyed=write))
+    began = time.monotonic()
+    anyio.run(Clients(record, lambda index: addresses[index], seed).run, wishes)
+    answers = [seen for seen in record.seen if seen["what"] == "answer"]
+    starts = {seen["client"]: seen["t"] for seen in record.seen if seen["what"] == "try"}
+    waits = sorted(seen["t"] - starts[seen["client"]] for seen in answers)
+    click.echo(f"{len(starts)} tries in {time.monotonic() - began:.1f} s")
+    for name in sorted({(seen["status"], seen["reason"]) for seen in answers}):
+        click.echo(
+            f"  {name[0]} {name[1]}: {sum((seen['status'], seen['reason']) == name for seen in answers)}"
+        )
+    for what in ("cut", "gave-up", "unreachable"):
+        if count := sum(seen["what"] == what for seen in record.seen):
+            click.echo(f"  {what}: {count}")
+    if waits:
+        click.echo(f"  p50 {waits[len(waits) // 2]:.1f} ms, p99 {waits[int(len(waits) * 0.99)]:.1f} ms")
+    if out is not None:
+        record.save(out)
+
+
+def _until_stopped(run: Callable[[], Awaitable[None]], record: Record, out: Path | None) -> None:
+    try:
+        with contextlib.suppress(KeyboardInterrupt):
+            anyio.run(run)
+    finally:
+        if out is not None:
+            record.save(out)
--- a/winchdyke/days/judge.py
+++ b/winchdyke/days/judge.py
@@ -204,7 +204,7 @@
             for at, form, states in news:
                 if at > head["t"]:
                     break
-                state = states.get(head["who"], "gone" if form == "full" else None)
+                state = states.get(head["who"], "gone" if form != "changes" else None)
                 if state == "ready":
                     since = None
                 elif state is not None and since is None:
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -263,6 +263,20 @@
         record: Record,
     ) -> Final:
         """Do what the scheduler says until the request has its final answer."""
+        try:
+            return await self._obey(ticket, outgoing, operation, sink, connection, record)
+        finally:
+            self.engine.gone(ticket)  # no-op but where this failed: nothing is left behind that nobody holds
+
+    async def _obey(
+        self,
+        ticket: Ticket,
+        outgoing: Callable[[str, int], Outgoing],
+        operation: routes.Operation,
+        sink: Sink,
+        connection: ClientConnection,
+        record: Record,
+    ) -> Final:
         last: api.Outcome | None = None
         running: list[Attempt] = []
         self._watch_client(connection, ticket, running)
@@ -323,9 +337,8 @@
         timeout = ticket.end - self.clock()
         if send.timeout_ms > 0:
             timeout = min(timeout, send.timeout_ms)
-        if ticket.gone:
-            ended = Ended(api.Outcome.UNSENT)
-        else:
+        ended = Ended(api.Outcome.UNSENT)
+        if not ticket.gone:
             attempt = Attempt(
                 self.pool,
                 self.clock,
@@ -336,25 +349,32 @@
             )
             running[:] = [attempt]
             ticket.on_cancel = lambda which: attempt.cancel() if which in (number, -1) else None
-            ended = await attempt.run(send.node, outgoing(send.node, number), timeout)
-            ticket.on_cancel = None
+            try:
+                ended = await attempt.run(send.node, outgoing(send.node, number), timeout)
+            except BaseException as error:  # whatever it was: the scheduler hears of the end of what it sent
+                fault = error if isinstance(error, Exception) else None
+                self._tell(ticket, number, send.node, Ended(api.Outcome.CANCELLED, fault=fault))
+                raise
+            finally:
+                ticket.on_cancel = None
+        self._tell(ticket, number, send.node, ended)
+        return ended
+
+    def _tell(self, ticket: Ticket, number: int, node: str, ended: Ended) -> None:
         told = ended.told
-        closed = (
-            ended.outcome is api.Outcome.SERVED or ended.relayed or ended.fault is not None or ticket.closed
-        )
+        over = ended.outcome is api.Outcome.SERVED or ended.relayed or ended.fault is not None
         event = api.AttemptEnded(
             ticket.id,
             number,
-            send.node,
+            node,
             ended.outcome,
             ended.latency_ms,
-            closed,
+            over or ticket.closed,
             told.used_percent,
             told.from_others,
             told.load,
         )
         self.engine.ended(ticket, event)
-        return ended
 
     def _settled(self, ended: Ended) -> Final | None:
         """The final answer where an attempt's end was one."""
--- a/winchdyke/nodes/follow.py
+++ b/winchdyke/nodes/follow.py
@@ -19,6 +19,7 @@
 from winchdyke.nodes.wire import ListError, Reader
 
 LIST_BYTES = 16 << 20
+GAP_S = 0.02  # between polls at the least: a service that never waits is not asked without end
 
 
 class Follower:
@@ -51,6 +52,7 @@
                     news = await self._poll()
                     if news is not None:
                         await self._post(news)
+                    await anyio.sleep(GAP_S)
             except (*LOST, ProtocolError, ListError) as error:
                 self._log.warning("list-failed", error=str(error) or type(error).__name__)
                 self._asked, self._token = anyio.Event(), ""
--- a/winchdyke/standins/nodelist.py
+++ b/winchdyke/standins/nodelist.py
@@ -23,7 +23,7 @@
         self.port = 0
         self.failing = ""  # "": well; "error": answers 500; "silence": says nothing; "down": not listening
         self.late_ms = 0.0
-        self.cached = False  # tell the list as it was when this was set
+        self._old: tuple[int, list[dict[str, Any]]] | None = None
         self._epoch = uuid.uuid4().hex[:8]
         self._entries: dict[str, dict[str, Any]] = {}
         self._changes: list[tuple[int, str]] = []
@@ -61,6 +61,11 @@
         self._news.set()
         self._news = anyio.Event()
 
+    def keep_old_copy(self, keep: bool = True) -> None:
+        """From now on tell the list as it is now, as a cached copy, to whoever asks for the whole."""
+        entries = [dict(entry) for entry in self._entries.values() if entry["state"] != "gone"]
+        self._old = (self._version, entries) if keep else None
+
     async def _serve(self, stream: SocketStream) -> None:
         peer = Peer(stream, h11.SERVER)
         event = await peer.event()
@@ -84,12 +89,19 @@
         if known >= self._version:
             await self._say(peer, 204, b"")
             return
-        if known < 0:
-            form, names = "full", [name for name, entry in self._entries.items() if entry["state"] != "gone"]
+        version_told = self._version
+        if known < 0 and self._old is not None:
+            version_told, nodes = self._old
+            form = "cached"
+        elif known < 0:
+            form, nodes = (
+                "full",
+                [dict(entry) for entry in self._entries.values() if entry["state"] != "gone"],
+            )
         else:
-            form, names = "changes", list(dict.fromkeys(name for at, name in self._changes if at > known))
-        nodes = [dict(self._entries[name]) for name in names]
-        body = {"token": f"{self._epoch}:{self._version}", "form": form, "nodes": nodes}
+            names = dict.fromkeys(name for at, name in self._changes if at > known)
+            form, nodes = "changes", [dict(self._entries[name]) for name in names]
+        body = {"token": f"{self._epoch}:{version_told}", "form": form, "nodes": nodes}
         await self._say(peer, 200, json.dumps(body).encode())
         states = {entry["name"]: entry["state"] for entry in nodes}
         starts = {entry["name"]: entry["started_unix_ms"] for entry in nodes}
