Bodies pass without copies; a request's id is its process and its number

Cause: 256 KiB reads were cut into 64 KiB pieces with a copy each, and each piece was copied again on its way out.

Change: pieces go on as the parser gives them; receives take what the transport read; cheaper ids and log times.

--- a/winchdyke/gateway/attempts.py
+++ b/winchdyke/gateway/attempts.py
@@ -11,12 +11,12 @@
 
 from winchdyke.gateway.bodies import BodyStoreFull, ReplayBody
 from winchdyke.gateway.pool import Connection, DialError, Pool
-from winchdyke.http1 import AnswerHead, End, Headers, Need, ProtocolError
+from winchdyke.http1 import AnswerHead, Bytes, End, Headers, Need, ProtocolError
 from winchdyke.interface import Outcome
 from winchdyke.objects import storewire
 
 WHOLE = 64 * 1024  # an answer up to this many bytes is read whole before any of it is the client's
-CHUNK = 64 * 1024
+CHUNK = 256 * 1024  # what the transport reads at once; less would be cut out of that, with a copy
 LOST = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -30,7 +30,7 @@
     async def begin_stream(self, head: AnswerHead) -> None:
         """Take the head of an answer whose body follows."""
 
-    async def data(self, data: bytes) -> None:
+    async def data(self, data: Bytes) -> None:
         """Take a piece of it."""
 
     async def finish(self) -> None:
@@ -175,7 +175,8 @@
                 if not data:
                     break
                 self._sent = True
-                await connection.stream.send(head + codec.data(data))
+                piece = codec.data(data)
+                await connection.stream.send(head + piece if head else piece)  # type: ignore[arg-type]
                 head = b""
             self._sent = True
             await connection.stream.send(head + codec.end())
@@ -237,7 +238,7 @@
         ended = self._ended = Ended(Outcome.RESET, told=told, relayed=True, status=head.status)
         try:
             await self._to_client(self._sink.begin_stream(head))
-            piece: bytes | End = first
+            piece: Bytes | End = first
             while not isinstance(piece, End):
                 await self._to_client(self._sink.data(piece))
                 moved += len(piece)
@@ -259,7 +260,7 @@
         finally:
             self._blocked += self._clock() - began
 
-    async def _piece(self, connection: Connection) -> bytes | End:
+    async def _piece(self, connection: Connection) -> Bytes | End:
         while True:
             piece = connection.codec.body()
             if not isinstance(piece, Need):
--- a/winchdyke/gateway/bodies.py
+++ b/winchdyke/gateway/bodies.py
@@ -14,11 +14,13 @@
 
 import anyio.to_thread
 
+from winchdyke.http1 import Bytes
+
 BATCH = 1 << 20  # bytes handed to a file at once, off the event loop
 WRITERS = ThreadPoolExecutor(4, thread_name_prefix="winchdyke-body")
 
 
-def _write(file: IO[bytes], chunks: list[bytes]) -> None:
+def _write(file: IO[bytes], chunks: list[Bytes]) -> None:
     left = sum(len(chunk) for chunk in chunks)
     done = os.writev(file.fileno(), chunks)
     if done < left:  # a file takes all but where the disk is full; then this raises
@@ -55,14 +57,14 @@
     """
 
     def __init__(
-        self, read: Callable[[], Awaitable[bytes]], length: int | None, store: BodyStore, keep: bool = True
+        self, read: Callable[[], Awaitable[Bytes]], length: int | None, store: BodyStore, keep: bool = True
     ) -> None:
         self._read, self.length, self._store, self._keep = read, length, store, keep
         self._room = length or 0 if keep else 0
         store.take(self._room)
         self._memory = bytearray()
         self._file: IO[bytes] | None = None
-        self._pending: list[bytes] = []  # for the file, not yet handed over
+        self._pending: list[Bytes] = []  # for the file, not yet handed over
         self._pending_size = 0
         self._writing: Future[None] | None = (
             None  # at most one batch is being written while the next one comes
@@ -70,7 +72,7 @@
         self.got, self.whole = 0, length == 0
         self.started = False
 
-    async def _more(self) -> bytes:
+    async def _more(self) -> Bytes:
         self.started = True
         data = await self._read()
         if not data:
@@ -111,7 +113,7 @@
         except OSError as error:
             raise BodyStoreFull from error
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self) -> AsyncIterator[Bytes]:
         """The body from its start: what is kept, then what still comes."""
         if self.got and not self._keep:
             raise BodyStoreFull
@@ -127,9 +129,9 @@
             self._file.seek(0)
             left = self.got - at
             while left:
-                data = await anyio.to_thread.run_sync(self._file.read, min(BATCH, left))
-                left -= len(data)
-                yield data
+                kept = await anyio.to_thread.run_sync(self._file.read, min(BATCH, left))
+                left -= len(kept)
+                yield kept
             self._file.seek(0, 2)
         while not self.whole:
             data = await self._more()
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -11,8 +11,18 @@
 from anyio.abc import SocketStream
 
 from winchdyke.config.model import Limits
-from winchdyke.gateway.attempts import LOST, ClientLeft
-from winchdyke.http1 import END, NEED, AnswerHead, Headers, ProtocolError, RequestHead, ServerSide
+from winchdyke.gateway.attempts import CHUNK, LOST, ClientLeft
+from winchdyke.http1 import (
+    NEED,
+    AnswerHead,
+    Bytes,
+    End,
+    Headers,
+    Need,
+    ProtocolError,
+    RequestHead,
+    ServerSide,
+)
 from winchdyke.objects import answers
 from winchdyke.objects.storewire import onward
 
@@ -119,7 +129,7 @@
                 while self._ahead > AHEAD:
                     self._wanted = anyio.Event()
                     await self._wanted.wait()
-                data = await self._stream.receive(65536)
+                data = await self._stream.receive(CHUNK)
                 self._ahead += len(data)
                 self._heard = True
                 if not self.close_after or not self.codec.body_done:
@@ -146,7 +156,7 @@
 
     async def _next_head(self) -> RequestHead | None:
         # One sweep over all connections looks at ``due``: cheaper than a timer for each step of each request.
-        head = self.codec.head()
+        head = self.codec.head() if self._ahead else NEED
         if head is NEED and not self.eof:
             self.idle = True
             self.due = self._clock() + self._limits.idle_timeout
@@ -162,26 +172,26 @@
         self._heard = False
         return head if isinstance(head, RequestHead) else None
 
-    async def body(self) -> bytes:
+    async def body(self) -> Bytes:
         """More of the request's body; empty at its end. ClientLeft, or ProtocolError where it is malformed."""
         if self.codec.waiting_for_continue:
             await self._send(self.codec.go_on())
         while True:
             piece = self.codec.body()
-            if isinstance(piece, bytes):
+            if not isinstance(piece, (Need, End)):
                 self._ahead = max(0, self._ahead - len(piece))
                 self._wanted.set()
                 return piece
-            if piece is END:
+            if isinstance(piece, End):
                 return b""
             if self.eof:
                 raise ClientLeft
             await self._until_fed()
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, data: Bytes) -> None:
         self._sending, self.due = True, self._clock() + self._limits.stream_idle
         try:
-            await self._stream.send(data)
+            await self._stream.send(data)  # type: ignore[arg-type]
         except LOST as error:
             self.close_after = True
             raise ClientLeft from error
@@ -233,9 +243,10 @@
 
     _pending = b""
 
-    async def data(self, data: bytes) -> None:
+    async def data(self, data: Bytes) -> None:
         """A piece of the body."""
-        await self._send(self._pending + self.codec.data(data))
+        sent = self.codec.data(data)
+        await self._send(self._pending + sent if self._pending else sent)
         self._pending = b""
         self.moved += len(data)
 
--- a/winchdyke/gateway/logs.py
+++ b/winchdyke/gateway/logs.py
@@ -19,7 +19,7 @@
         return
     shared: list[structlog.typing.Processor] = [
         structlog.processors.add_log_level,
-        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.TimeStamper(fmt="iso" if form == "console" else None, utc=True),
         structlog.processors.format_exc_info,
     ]
     if form == "console":
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -20,7 +20,7 @@
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.gateway.engine import Engine, Ticket
 from winchdyke.gateway.pool import Pool
-from winchdyke.http1 import AnswerHead, Headers, ProtocolError, RequestHead
+from winchdyke.http1 import AnswerHead, Bytes, Headers, ProtocolError, RequestHead
 from winchdyke.objects import answers, listing, ranges, routes, storewire
 from winchdyke.objects.answers import RequestError
 
@@ -58,7 +58,7 @@
         """Refuse."""
         raise ClientLeft
 
-    async def data(self, data: bytes) -> None:
+    async def data(self, data: Bytes) -> None:
         """Refuse."""
         raise ClientLeft
 
@@ -75,6 +75,10 @@
         self.bodies = BodyStore(config.limits.body_total, config.limits.body_memory)
         self.stopping = False
         self.active = 0
+        self._born, self._count = (
+            uuid.uuid4().hex[:20],
+            0,
+        )  # a request's id: this process, and its number in it
         self._keys: set[tuple[str, str]] = set()
         self._kinds = {kind.rules.name: kind.rules for kind in config.kinds}
         self._volumes: dict[str, VolumeRule] = {}
@@ -82,7 +86,8 @@
 
     async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
         """Answer one request; whatever happens, once."""
-        began, request = self.clock(), str(uuid.uuid4())
+        self._count += 1
+        began, request = self.clock(), f"{self._born}{self._count:012x}"
         connection.begin([(answers.REQUEST_ID, request.encode())], close=self.stopping)
         connection.unread_length = head.length
         record = Record()
@@ -205,10 +210,10 @@
             if body is not None:
                 body.close()
 
-    def _bounded(self, connection: ClientConnection) -> Callable[[], Awaitable[bytes]]:
+    def _bounded(self, connection: ClientConnection) -> Callable[[], Awaitable[Bytes]]:
         most, got = self.config.limits.object_bytes, 0
 
-        async def read() -> bytes:
+        async def read() -> Bytes:
             nonlocal got
             data = await connection.body()
             got += len(data)
--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -11,6 +11,7 @@
 import h11
 
 Headers = list[tuple[bytes, bytes]]
+Bytes = bytes | bytearray
 
 
 class ProtocolError(Exception):
@@ -61,6 +62,12 @@
 NEED, END = Need(), End()
 
 
+def _passed(connection: h11.Connection, data: Bytes) -> Bytes:
+    """A piece of a body as it goes on the wire; not copied where its framing adds nothing."""
+    parts = connection.send_with_data_passthrough(h11.Data(data=data)) or []  # type: ignore[arg-type]
+    return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
 def _length(headers: Headers) -> int | None:
     given = {value for name, value in headers if name == b"content-length"}
     return int(next(iter(given))) if given else None
@@ -108,14 +115,14 @@
             self._h11.next_event()  # the end of a body that has none
         return RequestHead(event.method.decode("ascii"), event.target, headers, length)
 
-    def body(self) -> bytes | Need | End:
+    def body(self) -> Bytes | Need | End:
         """More of the request's body."""
         try:
             event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
             raise ProtocolError(400, "body-cut", str(error)) from error
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return event.data
         return (
             END
             if isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)) or event is h11.PAUSED
@@ -140,9 +147,9 @@
         """An answer's head."""
         return self._h11.send(h11.Response(status_code=status, headers=headers)) or b""
 
-    def data(self, data: bytes) -> bytes:
+    def data(self, data: Bytes) -> Bytes:
         """A piece of an answer's body."""
-        return self._h11.send(h11.Data(data=data)) or b""
+        return _passed(self._h11, data)
 
     def end(self) -> bytes:
         """The end of an answer."""
@@ -178,9 +185,9 @@
         """A request's head."""
         return self._h11.send(h11.Request(method=method, target=target, headers=headers)) or b""
 
-    def data(self, data: bytes) -> bytes:
+    def data(self, data: Bytes) -> Bytes:
         """A piece of the request's body."""
-        return self._h11.send(h11.Data(data=data)) or b""
+        return _passed(self._h11, data)
 
     def end(self) -> bytes:
         """The end of the request."""
@@ -204,14 +211,14 @@
         except h11.RemoteProtocolError as error:
             raise ProtocolError(502, "store-http", str(error)) from error
 
-    def body(self) -> bytes | Need | End:
+    def body(self) -> Bytes | Need | End:
         """More of the answer's body."""
         try:
             event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
             raise ProtocolError(502, "store-cut", str(error)) from error
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return event.data
         return END if isinstance(event, h11.EndOfMessage) else NEED
 
     @property
--- a/winchdyke/nodes/follow.py
+++ b/winchdyke/nodes/follow.py
@@ -15,7 +15,7 @@
 from winchdyke import interface as api
 from winchdyke.config.model import Discovery
 from winchdyke.gateway.attempts import LOST
-from winchdyke.http1 import END, NEED, ClientSide, ProtocolError
+from winchdyke.http1 import ClientSide, End, Need, ProtocolError
 from winchdyke.nodes.wire import ListError, Reader
 
 LIST_BYTES = 16 << 20
@@ -69,21 +69,20 @@
                 codec = ClientSide(64 * 1024)
                 headers = [(b"host", where.host.encode()), (b"connection", b"close")]
                 await stream.send(codec.request("GET", target.encode(), headers) + codec.end())
-                while (head := codec.head()) is NEED:
+                while isinstance(head := codec.head(), Need):
                     codec.feed(await self._receive(stream))
                 body = bytearray()
-                while (piece := codec.body()) is not END:
-                    if isinstance(piece, bytes):
-                        body += piece
-                    else:
+                while not isinstance(piece := codec.body(), End):
+                    if isinstance(piece, Need):
                         codec.feed(await self._receive(stream))
+                    else:
+                        body += piece
                     if len(body) > LIST_BYTES:
                         raise ListError(f"the list is larger than {LIST_BYTES} bytes")
-        status = head.status  # type: ignore[union-attr]
-        if status == 204:
+        if head.status == 204:
             return None
-        if status != 200:
-            raise ListError(f"the list service answered {status}")
+        if head.status != 200:
+            raise ListError(f"the list service answered {head.status}")
         self._token, news = self._reader.read(bytes(body), self._clock(), time.time() * 1000)
         return news
 
--- a/winchdyke/objects/storewire.py
+++ b/winchdyke/objects/storewire.py
@@ -58,8 +58,10 @@
 
 def onward(headers: Headers) -> Headers:
     """The headers of a store's answer that are for the client."""
-    listed = (values for name, values in headers if name == b"connection")
-    dropped = HOP | {value.strip().lower() for values in listed for value in values.split(b",")}
+    dropped = HOP
+    for name, values in headers:
+        if name == b"connection":
+            dropped = dropped | {value.strip().lower() for value in values.split(b",")}
     return [
         (name, value) for name, value in headers if name not in dropped and not name.startswith(b"winchdyke-")
     ]
