--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -564,3 +564,38 @@
             await it.until(lambda: it.gateway.engine.nodes[it.stores[0].name].state is api.NodeState.DRAINING)
 
     run()
+
+
+def test_a_client_that_resets_behind_an_upload_nobody_reads_yet_is_seen_and_nothing_is_sent():
+    """Found by bad-day with seed 6: the reader is paused at its bound, and a paused transport hears of no reset."""
+
+    @played
+    async def run():
+        async with rig(unit_ms=400.0) as it:
+            heads = lambda: [seen["client"] for seen in it.record.seen if seen["what"] == "head"]  # noqa: E731
+            first = await it.connect()
+            ordered = [
+                ("host", "t"),
+                ("winchdyke-class", "turns"),
+                ("x-request-id", "first"),
+                ("content-length", "1"),
+            ]
+            await first.send(
+                h11.Request(method="PUT", target=READ, headers=ordered),
+                h11.Data(data=b"x"),
+                h11.EndOfMessage(),
+            )
+            await it.until(lambda: heads() == ["first"])
+            second = await it.connect()
+            head = "PUT /school-1/object HTTP/1.1\r\nhost: t\r\nwinchdyke-class: turns\r\nx-request-id: second\r\n"
+            await second.stream.send(head.encode() + b"content-length: 900000\r\n\r\n" + b"x" * 450_000)
+            await it.until(lambda: len(it.gateway.engine.tickets) == 2)
+            await anyio.sleep(0.05)
+            await second.reset()
+            await it.until(lambda: len(it.gateway.engine.tickets) == 1, 0.3)
+            assert (await reply(first)).status == 201
+            await anyio.sleep(0.1)
+            assert heads() == ["first"]
+            await anyio.aclose_forcefully(first.stream)
+
+    run()
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
+import select
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from winchdyke.config.model import Limits
 from winchdyke.gateway.attempts import CHUNK, LOST, ClientLeft
@@ -46,6 +47,8 @@
         self._fed, self._wanted = anyio.Event(), anyio.Event()
         self.extra: Headers = []
         self._scope = anyio.CancelScope()
+        self._poll = select.poll()  # for errors and hang-ups alone, which are always told
+        self._poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), 0)
 
     async def run(self, handle: Callable[[ClientConnection, RequestHead], Awaitable[None]]) -> None:
         """Serve the connection to its end."""
@@ -59,6 +62,17 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    def look(self) -> None:
+        """See whether a client whose bytes wait unread has reset the connection; ``on_gone`` is told."""
+        # Guards against sending for a client that has left behind an upload nobody reads yet: the reader is paused,
+        # and a paused transport hears of no reset. A close in good order still shows only once all is read.
+        if self.eof or self._ahead <= AHEAD or not self._poll.poll(0):
+            return
+        self.eof = True
+        self._fed.set()
+        if self.on_gone is not None:
+            self.on_gone()
+
     async def refuse(self, status: int, headers: Headers, body: bytes) -> None:
         """Answer without reading, and close."""
         try:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -131,8 +131,10 @@
         while True:
             await anyio.sleep(SWEEP_S)
             now = self.engine.clock()
-            for connection in [each for each in self._connections if each.due <= now]:
-                await connection.expire()
+            for connection in list(self._connections):
+                connection.look()
+                if connection.due <= now:
+                    await connection.expire()
             self.engine.answer_overdue(now)
 
     async def _drain(self) -> None:
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -303,6 +303,7 @@
                 )
             if not isinstance(action, api.Send):
                 continue
+            connection.look()
             ended = await self._attempt(ticket, action, outgoing, operation, sink, running)
             last = ended.outcome
             record.attempts += 1
