--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -49,7 +49,7 @@
 
 async def main(ports: list[str]) -> None:
     logs.set_up("none")
-    config = parse(defaults(), "defaults.ini")
+    config = parse(defaults(), "defaults.conf")
     nodes = dataclasses.replace(config.nodes, must_ask=True)
     gateway = Gateway(dataclasses.replace(config, nodes=nodes))
     gateway.service = PassThrough(gateway, [f"127.0.0.1:{port}" for port in ports])
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -5,13 +5,14 @@
 import dataclasses
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from importlib import resources
 from typing import Any
 
 import anyio
 import h11
 
 from winchdyke import interface as api
-from winchdyke.config import Config, defaults, parse
+from winchdyke.config import Config, parse
 from winchdyke.gateway import logs
 from winchdyke.gateway.daemon import Gateway
 from winchdyke.gateway.engine import Engine
@@ -21,6 +22,7 @@
 from winchdyke.standins.wire import LOST, Peer
 
 logs.set_up("none")
+INI = resources.files("winchdyke.config").joinpath("defaults.ini").read_text()
 ONCE = """
 [class once]
 operations = put delete
@@ -42,7 +44,7 @@
 
 def settings(extra: str = "", **changes: str) -> Config:
     """The embedded settings with other values (``section__key``) and more classes."""
-    text = defaults() + ONCE + extra
+    text = INI + ONCE + extra
     for name, value in changes.items():
         section, key = name.split("__")
         head, _, rest = text.partition(f"[{section}]\n")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,11 +6,11 @@
 from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
-from rig import ONCE, settings
+from rig import INI, ONCE, settings
 
 from winchdyke import interface as api
 from winchdyke.cli.main import main
-from winchdyke.config import ConfigError, defaults, parse
+from winchdyke.config import ConfigError, parse
 from winchdyke.config.units import duration, size
 
 
@@ -21,15 +21,16 @@
 
 
 def changed(old: str, new: str) -> str:
-    assert old in defaults()
-    return defaults().replace(old, new, 1)
+    assert old in INI
+    return INI.replace(old, new, 1)
 
 
 def test_the_embedded_defaults_become_the_schedulers_settings():
-    config = parse(defaults(), "defaults.ini")
+    config = parse(INI, "defaults.ini")
     told = config.settings()
-    assert [kind.name for kind in told.classes] == ["fetch", "submit", "export"]
-    assert told.classes[1].effect is api.Effect.KEYED
+    assert {kind.name: kind.effect for kind in told.classes} == {
+        "fetch": api.Effect.IDEMPOTENT, "submit": api.Effect.KEYED, "export": api.Effect.IDEMPOTENT,
+    }  # fmt: skip
     assert (told.max_attempts, told.fall_window_ms, told.max_retry_after_ms, told.extra_share) == (
         3,
         1500.0,
@@ -126,7 +127,7 @@
     done = CliRunner().invoke(main, ["check", str(file)])
     assert done.exit_code == 2
     assert done.output.count(f"{file}:") == 3
-    file.write_text(defaults())
+    file.write_text(INI)
     good = CliRunner().invoke(main, ["check", str(file)])
     assert (good.exit_code, "good" in good.output) == (0, True)
     missing = CliRunner().invoke(main, ["serve", "-c", str(tmp_path / "none.ini")])
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -18,6 +18,7 @@
 import msgspec
 import pytest
 from click.testing import CliRunner
+from rig import INI
 
 from winchdyke.cli.main import main
 from winchdyke.days import frombench, script
@@ -167,9 +168,7 @@
         # A second gateway of its own, with no list service: it starts, answers, dies and starts again.
         port_file = tmp_path / "port"
         settings = tmp_path / "g.ini"
-        from winchdyke.config import defaults
-
-        settings.write_text(defaults().replace("[gateway]\n", f"[gateway]\nport_file = {port_file}\n", 1))
+        settings.write_text(INI.replace("[gateway]\n", f"[gateway]\nport_file = {port_file}\n", 1))
         command = [sys.executable, "-m", "winchdyke", "serve", "-c", str(settings)]
         for _ in range(2):
             port_file.unlink(missing_ok=True)
--- /dev/null
+++ b/tests/test_language.py
@@ -0,0 +1,566 @@
+"""The configuration language: a corpus of broken files with the message each must give, files, formatter, diff."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import re
+import time
+from importlib import resources
+
+import pytest
+from broken import CASES, GOOD
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from rig import INI
+
+from winchdyke.cli.main import main
+from winchdyke.config import ConfigError, defaults, ini, load_all, loading, meaning, parse
+from winchdyke.config.diagnostics import Diagnostic, Source
+from winchdyke.config.fmt import fmt
+from winchdyke.config.loading import load_text
+from winchdyke.config.matching import Asked, Matcher, Pattern, best
+from winchdyke.config.syntax import Block, Directive, Setting
+from winchdyke.config.syntax import parse as statements
+from winchdyke.config.writing import written
+
+
+def problems(text: str) -> list[Diagnostic]:
+    with pytest.raises(ConfigError) as caught:
+        load_text(text, "f.conf")
+    return caught.value.problems
+
+
+def test_the_good_file_is_good():
+    assert load_text(GOOD, "f.conf").warnings == []
+
+
+@pytest.mark.parametrize("case", CASES, ids=[case[0] for case in CASES])
+def test_a_broken_file_gives_its_message(case):
+    _, old, new, code, said, fix, line = case
+    assert GOOD.count(old) >= 1, "the corpus does not fit the file"
+    text = GOOD.replace(old, new, 1)
+    found = problems(text)
+    fits = [
+        p
+        for p in found
+        if p.code in code.split("|")
+        and any(w in p.text for w in said.split("|"))
+        and any(w in p.fix for w in fix.split("|"))
+    ]
+    assert fits, [str(problem) for problem in found]
+    problem = fits[0]
+    assert problem.span.source.file == "f.conf"
+    assert line in text.split("\n")[problem.line - 1], f"points to line {problem.line}"
+    assert problem.fix and "^" in problem.shown()
+
+
+def mutations() -> list[tuple[str, str, int]]:
+    """Mistakes made by machine in the good file: what was done, the text, and the line it was done in."""
+    draw, made = random.Random(5), []
+    lines = GOOD.split("\n")
+    swaps = {
+        "ms": "msec",
+        "s": "sec",
+        "KiB": "KB",
+        "MiB": "Mib",
+        "GiB": "G",
+        "%": "percent",
+        "units/s": "unit",
+    }
+    for at, line in enumerate(lines):
+        if line == "}":
+            made.append(("brace dropped", "\n".join([*lines[:at], "", *lines[at + 1 :]]), at + 1))
+        if line.endswith("{"):
+            made.append(("opening dropped", "\n".join([*lines[:at], line[:-1], *lines[at + 1 :]]), at + 1))
+        for unit, other in swaps.items():
+            if re.search(rf"\d\s?{re.escape(unit)}$", line):
+                made.append(
+                    (
+                        "unit swapped",
+                        "\n".join([*lines[:at], line[: -len(unit)] + other, *lines[at + 1 :]]),
+                        at + 1,
+                    )
+                )
+        word = re.match(r"\s*([a-z_]{4,})", line)
+        if word and not line.startswith("#"):
+            place = line.index(word[1]) + draw.randrange(1, len(word[1]) - 1)
+            typo = line[:place] + line[place + 1] + line[place] + line[place + 2 :]
+            if typo != line:
+                made.append(("letters swapped", "\n".join([*lines[:at], typo, *lines[at + 1 :]]), at + 1))
+    return made
+
+
+def test_mistakes_made_by_machine_are_pointed_to_within_a_line():
+    made = mutations()
+    near, far = 0, []
+    for what, text, line in made:
+        found = problems(text)
+        assert all(p.span.source.file and p.line and p.text and p.fix for p in found), (
+            "file, line, mistake, remedy"
+        )
+        if any(abs(problem.line - line) <= 1 for problem in found):
+            near += 1
+        else:
+            far.append((what, line, str(found[0])))
+    assert len(made) >= 100
+    assert near / len(made) >= 0.95, (near, len(made), far)
+
+
+def test_several_mistakes_are_all_told():
+    text = GOOD.replace("deadline = 3s", "deadline = 3").replace("effect = keyed", "effect = keeyd")
+    text = text.replace("plan = basic", "plan = basc").replace("0-5", "5-0")
+    assert len({problem.line for problem in problems(text)}) == 4
+    broken = (
+        GOOD.replace("weight = 2", "weight = = 2")
+        .replace('"archive/"', '"archive/')
+        .replace("= 6, 7", "= 6,, 7")
+    )
+    assert len(problems(broken)) == 3
+
+
+def test_what_is_legal_but_doubtful_is_a_warning_with_its_reason():
+    def warned(old: str, new: str) -> str:
+        assert old in GOOD
+        found = load_text(GOOD.replace(old, new, 1), "f.conf").warnings
+        return " ".join(str(problem) for problem in found)
+
+    assert "4h is unusually long here" in warned("connect_timeout = 250ms", "connect_timeout = 4h")
+    assert "was 250ms meant?" in warned("connect_timeout = 250ms", "connect_timeout = 250s")
+    assert "forget its keys after 1s, before its deadline 2.5s" in warned("memory = 4s", "memory = 1s")
+    assert "no volume uses it" in warned("plan basic {", "plan idle {\n}\nplan basic {")
+    assert "'other' is never used" in warned("let aim", "let other = 1\nlet aim")
+    shadow = "route later {\n    volume = school-*\n    key = archive/x\n    class = import\n    priority = -1\n}\n"
+    assert "route 'archive' takes all its requests first" in warned(
+        "route archive {", shadow + "route archive {"
+    )
+    twin = 'route twin {\n    volume = school-*\n    key = "archive/"\n    class = import\n}\n'
+    assert "the two ask for the same" in warned("route archive {", twin + "route archive {")
+
+
+def files(folder, **texts: str):
+    for name, text in texts.items():
+        (folder / f"{name}.conf").write_bytes(text.encode() if isinstance(text, str) else text)
+    return folder / "main.conf"
+
+
+def told(path) -> str:
+    with pytest.raises(ConfigError) as caught:
+        load_all(path)
+    return "\n".join(problem.shown() for problem in caught.value.problems)
+
+
+def test_includes(tmp_path):
+    head, _, tail = GOOD.partition("plan basic {")
+    main_file = files(
+        tmp_path,
+        main='include "a*.conf"\ninclude "both.conf"\n' + head,
+        a1='include "both.conf"\n',
+        both="plan basic {" + tail,
+    )
+    assert load_all(main_file).config == load_text(GOOD, "f.conf").config, "a diamond is there once"
+    origin = load_all(main_file).origins["plan", "basic", "limit"]
+    assert origin.span.source.chain == ((str(main_file), 1), (str(tmp_path / "a1.conf"), 1))
+
+
+def test_an_include_loop_is_shown_whole(tmp_path):
+    files(tmp_path, main='include "one.conf"\n', one='include "two.conf"\n', two='include "one.conf"\n')
+    said = told(tmp_path / "main.conf")
+    assert "one.conf -> two.conf -> one.conf" in said
+    assert f"included from {tmp_path}/one.conf:1" in said
+
+
+def test_a_duplicate_name_across_files_shows_both_places(tmp_path):
+    files(tmp_path, main='include "other.conf"\n' + GOOD, other="\n\npool main {\n    shards = 1\n}\n")
+    said = told(tmp_path / "main.conf")
+    assert "given twice" in said and f"{tmp_path}/other.conf:3:1" in said
+
+
+@pytest.mark.parametrize(
+    ("main_text", "said"),
+    [
+        ('include "none-*.conf"\n', "matches no file"),
+        ('include "missing.conf"\n', "can't be read: No such file"),
+        ('include "out.conf"\n', "lies outside of"),
+        ('include "../main.conf"\n', "outside of|can't be read"),
+    ],
+)
+def test_includes_that_lead_nowhere(tmp_path, main_text, said):
+    inner = tmp_path / "inner"
+    inner.mkdir()
+    (tmp_path / "secret.conf").write_text("pool a {\n    shards = 1\n}\n")
+    (inner / "out.conf").symlink_to(tmp_path / "secret.conf")
+    assert any(words in told(files(inner, main=main_text)) for words in said.split("|"))
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (b"pool a {\n  x = \xff\n}\n", "main.conf:2:7: error[not-utf8]"),
+        ("pool a {}".encode("utf-16"), "is UTF-16"),
+        (b"pool a {\n\x00\n}\n", "main.conf:2:1: error[control]"),
+        (b"", "no listener is set up"),
+        (b"# nothing\n", "no listener is set up"),
+        (b'key = "open', "never closed"),
+        (b"pool a {", "text ends before this block is closed"),
+        (b"{" * 10_000, "10000 deep"),
+        (b"a {\n" * 10_000, "10000 deep"),
+        (b"a {\n" * 30 + b"}\n" * 30, "too deep"),
+        (b'include "main.conf"\n', "includes go round: main.conf -> main.conf"),
+    ],
+)
+def test_files_that_are_no_settings(tmp_path, data, said):
+    (tmp_path / "main.conf").write_bytes(data)
+    assert said in told(tmp_path / "main.conf")
+
+
+def test_an_unfinished_block_at_the_end_of_an_included_file_does_not_reach_into_the_next(tmp_path):
+    files(tmp_path, main='include "half.conf"\n' + GOOD, half="pool half {\n    shards = 1\n")
+    said = told(tmp_path / "main.conf")
+    assert "half.conf:2:5: error[missing-brace]" in said
+    assert f"it begins here: {tmp_path}/half.conf:1:1" in said
+    assert "error" not in said.replace("error[missing-brace]", "", 1), (
+        "nothing is held against the file that includes it"
+    )
+
+
+def test_line_ends_marks_and_tabs_mean_nothing(tmp_path):
+    (tmp_path / "main.conf").write_bytes(
+        b"\xef\xbb\xbf" + GOOD.replace("    ", "\t").replace("\n", "\r\n").encode()
+    )
+    assert load_all(tmp_path / "main.conf").config == load_text(GOOD, "f").config
+
+
+def test_a_file_of_50_MB_is_refused_at_once(tmp_path):
+    with (tmp_path / "main.conf").open("wb") as file:
+        file.truncate(50_000_000)
+    began = time.monotonic()
+    assert "is 47 MiB; 8 MiB is the most" in told(tmp_path / "main.conf")
+    assert time.monotonic() - began < 1
+
+
+def test_a_file_changed_while_it_is_read_is_not_used(tmp_path, monkeypatch):
+    path = files(tmp_path, main=GOOD)
+    real, count = os.fstat, iter(range(100))
+
+    def grows(descriptor: int):
+        with path.open("ab") as file:
+            file.write(b"# %d\n" % next(count))
+        return real(descriptor)
+
+    monkeypatch.setattr("winchdyke.config.sources.os.fstat", grows)
+    assert "changes while it is being read" in told(path)
+
+
+@pytest.mark.skipif(os.geteuid() == 0, reason="root may read all")
+def test_a_file_that_may_not_be_read(tmp_path):
+    path = files(tmp_path, main=GOOD)
+    path.chmod(0)
+    assert "Permission denied" in told(path)
+
+
+def test_references_defaults_templates_and_where_values_came_from():
+    loaded = load_text(GOOD, "f.conf", {"SHARDS": "0-3"})
+    assert loaded.values["class", "fetch"]["aim"] == 400.0
+    assert loaded.values["class", "import"]["late_share"] == 0.1
+    assert loaded.values["plan", "school"]["weight"] == 2.0
+    assert loaded.origins["class", "import", "late_share"].way == "template read"
+    assert loaded.origins["plan", "school", "weight"].way == "defaults plan"
+    assert loaded.origins["class", "submit", "worth"].way == "built in"
+    env = GOOD.replace("shards = 0-5", "shards = $env:SHARDS").replace("= $aim", "= $env:AIM|300ms")
+    loaded = load_text(env, "f.conf", {"SHARDS": "0-3"})
+    assert loaded.values["pool", "main"]["shards"] == (0, 1, 2, 3)
+    assert loaded.values["class", "fetch"]["aim"] == 300.0
+    assert load_text(GOOD.replace("zone", "zone")).config == load_text(GOOD).config
+    quoted = GOOD.replace("name = gw-1", 'name = "$env:HOME"')
+    assert load_text(quoted).config.gateway.name == "$env:HOME", "only marked references are replaced"
+
+
+def plain(found) -> list:
+    """Statements without their places."""
+    out = []
+    for each in found:
+        words = [(word.text, word.quoted) for word in each.words]
+        if isinstance(each, Setting):
+            out.append((words, [[(word.text, word.quoted) for word in item] for item in each.items]))
+        else:
+            out.append((words, plain(each.body) if isinstance(each, Block) else None))
+        assert isinstance(each, (Setting, Block, Directive))
+    return out
+
+
+WORD = st.from_regex(r"[a-z$][a-z0-9.:%/*-]{0,8}", fullmatch=True) | st.text(
+    st.characters(exclude_categories=("Cc", "Cs"), exclude_characters='"\\'), max_size=8
+).map(lambda text: f'"{text}"')
+COMMENT = st.text(st.characters(exclude_categories=("Cc", "Cs")), max_size=10).map(lambda text: f" # {text}")
+END = st.sampled_from(["\n", "\n\n", "\n\n\n", ";", " ;\n"]) | COMMENT.map(lambda comment: comment + "\n")
+SETTING = st.tuples(WORD, st.lists(st.lists(WORD, min_size=1, max_size=3), min_size=1, max_size=3)).map(
+    lambda parts: f"{parts[0]}={' , '.join(' '.join(item) for item in parts[1])}"
+)
+DIRECTIVE = st.lists(WORD, min_size=1, max_size=3).map(" ".join)
+BODY = st.recursive(
+    st.lists(st.tuples(SETTING | DIRECTIVE, END), max_size=4),
+    lambda inner: st.lists(
+        st.tuples(SETTING | DIRECTIVE, END)
+        | st.tuples(WORD, END, inner, END).map(
+            lambda parts: (f"{parts[0]} {{{parts[1]}{''.join(a + b for a, b in parts[2])}}}", parts[3])
+        ),
+        max_size=4,
+    ),
+    max_leaves=12,
+).map(lambda parts: "".join(a + b for a, b in parts))
+
+
+@given(BODY)
+@settings(max_examples=300)
+def test_formatting_keeps_the_meaning_and_every_comment_and_is_done_once(text):
+    before, wrong = statements(Source("f", text))
+    if wrong:
+        return
+    made = fmt(text)
+    after, problems_after = statements(Source("f", made))
+    assert not problems_after, made
+    assert plain(after) == plain(before)
+    assert fmt(made) == made
+    strip = re.compile(r'"(?:\\.|[^"\\\n])*"|(#[^\n]*)')
+    comments = lambda source: [found[1].rstrip() for found in strip.finditer(source) if found[1]]  # noqa: E731
+    assert sorted(comments(made)) == sorted(comments(text))
+
+
+def test_the_formatter_keeps_groups_and_comments():
+    messy = "# head\n\n\n\npool a{shards=1,  2 # both\n\n\n}\npool b { # why\nshards = 3;}\n"
+    assert fmt(messy) == (
+        "# head\n\npool a {\n    shards = 1, 2  # both\n}\npool b {  # why\n    shards = 3\n}\n"
+    )
+    assert fmt(GOOD) == GOOD
+    assert fmt(defaults()) == defaults()
+
+
+@given(st.text(st.sampled_from('ab ={}"#;,\\\n$"') | st.characters(exclude_categories=("Cs",)), max_size=200))
+@settings(max_examples=300)
+def test_no_text_brings_anything_but_told_mistakes(text):
+    try:
+        load_text(text, "f.conf")
+    except ConfigError as error:
+        assert error.problems
+        assert all(problem.text and problem.line >= 1 for problem in error.problems)
+
+
+@given(
+    st.integers(0, 10**6), st.integers(0, len(GOOD)), st.text(st.sampled_from('ab1 ={}"#;,\n'), max_size=3)
+)
+@settings(max_examples=200)
+def test_a_good_file_with_a_piece_cut_out_or_put_in_never_fails_otherwise(seed, at, piece):
+    end = at + seed % 20
+    try:
+        load_text(GOOD[:at] + piece + GOOD[end:], "f.conf")
+    except ConfigError as error:
+        assert all(problem.fix for problem in error.problems), [str(p) for p in error.problems if not p.fix]
+
+
+def test_ini_converted_means_the_same():
+    loaded = ini.load_text(INI, "d.ini")
+    assert load_text(written(loaded.values), "made").config == loaded.config == parse(defaults(), "d.conf")
+    assert fmt(written(loaded.values)) == written(loaded.values)
+    again = load_text(GOOD)
+    assert load_text(written(again.values), "made").config == again.config
+    assert hash(load_text(GOOD).config) == hash(again.config)
+
+
+CHANGES = [
+    ("deadline = 3s", "deadline = 3500ms"), ("weight = 2", "weight = 3"), ("limit = 240 units/s", "limit = 100 units/s"),
+    ("shards = 6, 7", "shards = 6"), ("key = \"archive/\"", "key = old/"), ("size = over 1MiB", "size = over 2MiB"),
+    ("effect = keyed", "effect = idempotent"), ("route large {", "route larger {"), ("plan = basic", "plan = school"),
+    ("gateways = 2", "gateways = 3"), ("listener inside {", "listener inner {"), ("extra_share = 10%", "extra_share = 20%"),
+    ("volume school-* {", "volume schule-* {"), ("also = put", "also = put, post"), ("shard = 3\n", "shard = 4\n"),
+]  # fmt: skip
+
+
+@given(st.sets(st.sampled_from(CHANGES)), st.sets(st.sampled_from(CHANGES)))
+@settings(max_examples=60)
+def test_a_diff_applied_gives_the_new_settings_and_equals_differ_in_nothing(left, right):
+    def made(changes) -> str:
+        text = GOOD
+        for old, new in sorted(changes):
+            text = text.replace(old, new, 1)
+        return text
+
+    old, new = load_text(made(left)).config, load_text(made(right)).config
+    changes = meaning.diff(old, new)
+    assert meaning.apply(old, changes) == new
+    assert bool(changes) == (old != new)
+    assert meaning.diff(new, new) == []
+    if left == right:
+        assert not meaning.rerouted(old, new)
+
+
+def diffed(old: str, new: str, tmp_path) -> tuple[int, str]:
+    files(tmp_path, old=old, new=new)
+    done = CliRunner().invoke(
+        main, ["config", "diff", str(tmp_path / "old.conf"), str(tmp_path / "new.conf")]
+    )
+    return done.exit_code, done.output
+
+
+def test_the_diff_tells_meaning_and_not_text(tmp_path):
+    same = GOOD.replace("deadline = 3s", "deadline = 3000ms").replace("template read", "template base")
+    same = (
+        same.replace("from read", "from base")
+        .replace("pool main", "pool first")
+        .replace("pool = main", "pool = first")
+    )
+    blocks = same.split("\n\n")
+    assert diffed(GOOD, "\n\n".join(reversed(blocks)), tmp_path) == (0, "the two mean the same\n")
+    code, said = diffed(GOOD, GOOD.replace("limit = 240", "limit = 100"), tmp_path)
+    assert code == 1
+    assert "plan basic: limit 240 units/s -> 100 units/s" in said
+    assert "refused what is beyond it" in said
+    _, said = diffed(GOOD, GOOD.replace('key = "archive/"', "key = old/"), tmp_path)
+    assert "goes elsewhere: GET /school-x/" in said
+    assert "class fetch, plan school, shards 6-7" in said
+    _, said = diffed(GOOD, GOOD.replace("effect = keyed\n    memory = 4s", "effect = idempotent"), tmp_path)
+    assert "a rule is loosened" in said
+    store = "store 127.0.0.1:5003 {\n    shard = 3\n    capacity = 250 units/s\n}\n"
+    _, said = diffed(GOOD, GOOD.replace(store, ""), tmp_path)
+    assert "store 127.0.0.1:5003 is gone\n    risk: shard 3 has no store any more" in said
+    files(tmp_path, old=GOOD, new=GOOD.replace("weight = 2", "weight = 3"))
+    done = CliRunner().invoke(
+        main, ["config", "diff", "--json", str(tmp_path / "old.conf"), str(tmp_path / "new.conf")]
+    )
+    assert [change["path"] for change in json.loads(done.output)["changes"]] == [
+        "plan.basic.weight",
+        "plan.school.weight",
+    ]
+
+
+def run(*words: str):
+    return CliRunner().invoke(main, ["config", *map(str, words)])
+
+
+def test_the_commands(tmp_path):
+    path = files(
+        tmp_path,
+        main=GOOD,
+        bad=GOOD.replace("deadline = 3s", "deadline = 3"),
+        messy=GOOD.replace("    ", "  "),
+    )
+    assert run("check", path).output == f"{path}: good\n"
+    bad = run("check", tmp_path / "bad.conf")
+    assert bad.exit_code == 2
+    assert "   44 |     deadline = 3\n      |                ^\n" in bad.output
+    found = json.loads(run("check", "--json", tmp_path / "bad.conf").output)
+    assert (found[0]["line"], found[0]["column"], found[0]["code"]) == (44, 16, "no-unit")
+    log = json.loads(run("check", "--sarif", tmp_path / "bad.conf").output)
+    assert log["runs"][0]["results"][0]["locations"][0]["physicalLocation"]["region"]["startLine"] == 44
+    assert run("fmt", "--check", path).exit_code == 0
+    assert run("fmt", "--check", tmp_path / "messy.conf").exit_code == 1
+    assert run("fmt", tmp_path / "messy.conf").exit_code == 0
+    assert (tmp_path / "messy.conf").read_text() == GOOD
+    assert run("fmt", tmp_path / "bad.conf").exit_code == 0, "a mistake of meaning can be formatted"
+    assert f"from {path}:43:5" in run("explain", path, "class.fetch.aim").output
+    assert "by template read" in run("explain", path, "class.import.late_share").output
+    assert "built-in default" in run("explain", path, "limits.idle_timeout").output
+    assert "did you mean 'fetch'?" in run("explain", path, "class.fetsh.aim").output
+    met = run(
+        "route", path, "PUT", "/school-1/archive/a", "--size", "3MB", "--header", "X-Kind: import"
+    ).output
+    assert "route archive: volume school-*, key archive/*" in met
+    assert "before route large" in met
+    assert "shards 6-7" in met
+    assert (
+        "class import"
+        in run("route", path, "PUT", "/other/a", "--size", "3MB", "--header", "X-Kind: import").output
+    )
+    assert "none matches" in run("route", path, "GET", "/other/a").output
+    out = run("convert", path).output
+    assert load_text(out).config == load_text(GOOD).config
+    assert run("convert", tmp_path / "none.conf").exit_code == 2
+
+
+def test_the_reference_page_is_the_schemas_own():
+    page = run("reference").output
+    with open("docs/config.md", encoding="utf-8") as file:
+        assert file.read() == page, "make it again: winchdyke config reference > docs/config.md"
+
+
+def test_the_guides_first_ten_lines_are_settings():
+    with open("docs/config-language.md", encoding="utf-8") as file:
+        guide = re.findall(r"```conf\n(.*?)```", file.read(), re.DOTALL)
+    assert len(guide) >= 2
+    assert load_text(guide[0]).warnings == []
+    for text in guide:
+        assert fmt(text) == text
+
+
+VOLUMES = st.sampled_from(["a", "ab", "abc", "b"])
+PATTERNS = st.builds(
+    Pattern,
+    name=st.integers(0, 10**6).map(str),
+    priority=st.integers(-1, 1),
+    volume=VOLUMES | st.sampled_from(["*", "a*", "ab*", "b*"]),
+    key=st.sampled_from(["", "x", "x/", "x/y", "z"]),
+    methods=st.sampled_from([(), ("GET",), ("GET", "PUT")]),
+    header=st.none() | st.tuples(st.sampled_from(["h", "i"]), st.sampled_from(["1", "2"])),
+    size=st.none() | st.sampled_from([(-1, 10), (10, 2**62), (5, 20)]),
+)
+REQUESTS = st.builds(
+    Asked,
+    method=st.sampled_from(["GET", "PUT", "DELETE"]),
+    volume=VOLUMES,
+    key=st.sampled_from(["x", "x/y/z", "z", "w", "x/"]),
+    size=st.sampled_from([0, 5, 10, 11, 30]),
+    headers=st.dictionaries(st.sampled_from(["h", "i"]), st.sampled_from(["1", "2", "3"])),
+)
+
+
+@given(
+    st.lists(PATTERNS, max_size=25, unique_by=lambda pattern: pattern.name), st.lists(REQUESTS, max_size=20)
+)
+@settings(max_examples=300)
+def test_the_compiled_matcher_answers_as_trying_every_route_does(patterns, requests):
+    table = [(pattern, pattern) for pattern in patterns]
+    compiled = Matcher(table)
+    for asked in requests:
+        assert compiled.match(asked) is best(table, asked)
+
+
+@given(PATTERNS, PATTERNS, st.lists(REQUESTS, max_size=20))
+@settings(max_examples=300)
+def test_a_pattern_that_covers_another_takes_all_that_it_takes(one, other, requests):
+    if one.covers(other):
+        assert all(one.takes(asked) for asked in requests if other.takes(asked))
+
+
+def test_routes_and_listeners_in_a_running_gateway():
+    import anyio
+    from rig import played, rig
+
+    @played
+    async def play():
+        text = written(ini.load_text(INI, "d.ini").values) + (
+            "\nlistener second {\n    address = 127.0.0.1:0\n}\n"
+            "\nroute exports {\n    volume = school-*\n    key = export/\n    method = GET\n    class = export\n}\n"
+            '\npool last {\n    shards = 7\n}\n\nroute old {\n    key = "old/"\n    pool = last\n}\n'
+        )
+        async with rig(loading.load_text(text, "made").config) as it:
+            classes = lambda: [seen["class"] for seen in it.record.seen if seen["what"] == "head"]  # noqa: E731
+            await it.ask("PUT", "/school-1/export/a", b"x")
+            await it.ask("GET", "/school-1/export/a")
+            await it.ask("GET", "/school-1/other")
+            assert classes() == ["submit", "export", "fetch"]
+            await it.ask("PUT", "/any/old/thing", b"old")
+            assert ("any", "old/thing") in it.stores[7].shelf.objects
+            assert (await it.ask("GET", "/any/old/thing")).body == b"old"
+            assert len(it.gateway.addresses) == 2
+            stream = await anyio.connect_tcp(*it.gateway.addresses[1])
+            await stream.send(b"GET /any/old/thing HTTP/1.1\r\nhost: t\r\n\r\n")
+            assert b"200" in await stream.receive()
+            await stream.aclose()
+
+    play()
+
+
+def test_the_embedded_ini_is_there_for_those_who_have_ini():
+    assert resources.files("winchdyke.config").joinpath("defaults.ini").is_file()
--- /dev/null
+++ b/winchdyke/cli/config.py
@@ -0,0 +1,210 @@
+"""``winchdyke config``: check, format, compare, explain and convert settings."""
+
+from __future__ import annotations
+
+import json
+import re
+from pathlib import Path
+
+import click
+
+from winchdyke.cli.common import FILE, settings_from
+from winchdyke.config import ConfigError, Loaded, load_all
+from winchdyke.config.diagnostics import ERROR, sarif
+
+
+@click.group("config")
+def command() -> None:
+    """Work with settings files. Ends with 0: good; 1: something to do (differences, not formatted); 2: mistakes."""
+
+
+@command.command("check")
+@click.argument("file", type=FILE)
+@click.option("--json", "as_json", is_flag=True, help="Findings as JSON.")
+@click.option("--sarif", "as_sarif", is_flag=True, help="Findings as SARIF 2.1.0, for editors and CI.")
+def check(file: Path, as_json: bool, as_sarif: bool) -> None:
+    """Check FILE and all that it includes; every mistake is told at once."""
+    try:
+        found = load_all(file).warnings
+    except ConfigError as error:
+        found = error.problems
+    errors = sum(problem.severity == ERROR for problem in found)
+    if as_json:
+        click.echo(json.dumps([problem.data() for problem in found], indent=1))
+    elif as_sarif:
+        click.echo(json.dumps(sarif(found), indent=1))
+    else:
+        for problem in found:
+            click.echo(problem.shown())
+        click.echo(f"{file}: {errors} mistakes, {len(found) - errors} warnings" if found else f"{file}: good")
+    raise SystemExit(2 if errors else 0)
+
+
+@command.command("fmt")
+@click.argument("files", type=FILE, nargs=-1, required=True)
+@click.option(
+    "--check", "only", is_flag=True, help="Change nothing; end with 1 where a file is not formatted."
+)
+def fmt(files: tuple[Path, ...], only: bool) -> None:
+    """Write FILES in the one spelling, with their comments."""
+    from winchdyke.config.diagnostics import Source
+    from winchdyke.config.fmt import fmt as formatted
+    from winchdyke.config.sources import Unreadable, read
+    from winchdyke.config.syntax import parse
+
+    odd = 0
+    for file in files:
+        try:
+            text = read(file)
+        except Unreadable as error:
+            click.echo(f"{file}:{error.line}:{error.column}: {error}; {error.fix}", err=True)
+            raise SystemExit(2) from None
+        _, problems = parse(Source(str(file), text))
+        if problems:
+            for problem in problems:
+                click.echo(problem.shown(), err=True)
+            raise SystemExit(2)
+        made = formatted(text)
+        if made != file.read_bytes().decode("utf-8"):
+            odd += 1
+            click.echo(f"{file}: {'is not formatted' if only else 'formatted'}")
+            if not only:
+                file.write_text(made, encoding="utf-8")
+    raise SystemExit(1 if only and odd else 0)
+
+
+@command.command("diff")
+@click.argument("old", type=FILE)
+@click.argument("new", type=FILE)
+@click.option("--json", "as_json", is_flag=True, help="Changes as JSON.")
+def diff(old: Path, new: Path, as_json: bool) -> None:
+    """What the change from OLD to NEW means; nothing where it means nothing."""
+    from winchdyke.config import meaning
+
+    before, after = settings_from(old), settings_from(new)
+    changes, moved = meaning.diff(before, after), meaning.rerouted(before, after)
+    if as_json:
+        told = {"changes": [change.data() for change in changes], "rerouted": [str(each) for each in moved]}
+        click.echo(json.dumps(told, indent=1))
+    else:
+        for change in changes:
+            click.echo(change.text + (f"\n    risk: {change.risk}" if change.risk else ""))
+        for each in moved:
+            click.echo(f"goes elsewhere: {each}")
+        if not changes:
+            click.echo("the two mean the same")
+    raise SystemExit(1 if changes else 0)
+
+
+def _loaded(file: Path) -> Loaded:
+    settings_from(file)
+    return load_all(file)
+
+
+@command.command("explain")
+@click.argument("file", type=FILE)
+@click.argument("path", metavar="PATH")
+def explain(file: Path, path: str) -> None:
+    """Where the value at PATH came from, such as class.fetch.aim or limits.connections."""
+    from winchdyke.config.meaning import show
+    from winchdyke.config.schema import BLOCKS
+    from winchdyke.config.types import nearest
+
+    loaded = _loaded(file)
+    kind, _, rest = path.partition(".")
+    name, _, key = rest.rpartition(".")
+    if kind not in BLOCKS:
+        raise click.ClickException(f"there is no kind of block {kind!r}; {nearest(kind, BLOCKS)}")
+    values = loaded.values.get((kind, name))
+    if values is None:
+        names = [there for each, there in loaded.values if each == kind]
+        raise click.ClickException(f"there is no {kind} {name!r}; {nearest(name, names)}")
+    if key not in values:
+        raise click.ClickException(f"{key!r} is no key of a {kind}; {nearest(key, BLOCKS[kind].keys)}")
+    origin = loaded.origins[kind, name, key]
+    click.echo(f"{path} = {show(kind, key, values[key])}")
+    click.echo(f"  {BLOCKS[kind].keys[key].doc}")
+    if origin.span is None:
+        click.echo("  the built-in default")
+        return
+    click.echo(f"  from {origin.span}" + (f", by {origin.way}" if origin.way else ""))
+    for place, line in reversed(origin.span.source.chain):
+        click.echo(f"    included from {place}:{line}")
+
+
+@command.command("route")
+@click.argument("file", type=FILE)
+@click.argument("method", type=click.Choice(["GET", "HEAD", "PUT", "POST", "DELETE"]))
+@click.argument("path")
+@click.option("--size", default="0", help="The body's length, such as 3MB.")
+@click.option("--header", "headers", multiple=True, help="NAME: VALUE; several may be given.")
+def route(file: Path, method: str, path: str, size: str, headers: tuple[str, ...]) -> None:
+    """What a request would meet, and why: its route, class, plan, shard."""
+    from winchdyke.config import meaning, units
+    from winchdyke.config.matching import Asked
+    from winchdyke.placement import shard_of
+
+    config = settings_from(file)
+    found = re.fullmatch(r"/([^/]+)/?(.*)", path)
+    if not found:
+        raise click.ClickException(f"{path!r} is not /VOLUME/KEY")
+    try:
+        length = units.size(size)
+    except ValueError as error:
+        raise click.ClickException(f"--size: {error}") from None
+    parted = [header.partition(":") for header in headers]
+    fields = {name.strip().lower(): value.strip() for name, _, value in parted}
+    asked = Asked(method, found[1], found[2], length, fields)
+    volume = config.volume(asked.volume)
+    if volume is None:
+        click.echo(f"404: no volume rule takes {asked.volume!r}")
+        raise SystemExit(1)
+    click.echo(f"volume {volume.pattern}: plan {volume.plan}, {volume.gateways} gateways")
+    chosen = config.matcher.match(asked)
+    others = [each for each in config.routes if each.pattern.takes(asked) and each != chosen]
+    if chosen is None:
+        click.echo("route: none matches; the operation's own class and the volume's shards")
+    else:
+        click.echo(f"route {chosen.pattern.name}: {_why(chosen.pattern)}")
+        for each in sorted(others, key=lambda other: other.pattern.rank, reverse=True)[:5]:
+            click.echo(f"  before route {each.pattern.name}: {_why(each.pattern)}")
+    click.echo(meaning.outcome(config, asked))
+    shards = chosen.shards if chosen and chosen.shards else volume.shards
+    if asked.key:
+        click.echo(f"its object lies on shard {shard_of(asked.volume, asked.key, shards)}")
+
+
+def _why(pattern: object) -> str:
+    from winchdyke.config.matching import Pattern
+    from winchdyke.config.meaning import show
+
+    assert isinstance(pattern, Pattern)
+    said = [f"volume {pattern.volume}"]
+    said += [f"key {pattern.key}*"] if pattern.key else []
+    said += [f"header {show('route', 'header', pattern.header)}"] if pattern.header else []
+    said += [f"size {show('route', 'size', pattern.size)}"] if pattern.size else []
+    said += [f"method {', '.join(pattern.methods)}"] if pattern.methods else []
+    return ", ".join(said) + (f", priority {pattern.priority}" if pattern.priority else "")
+
+
+@command.command("convert")
+@click.argument("file", type=FILE)
+@click.option("-o", "--out", type=FILE, help="Where to write; standard output where not given.")
+def convert(file: Path, out: Path | None) -> None:
+    """Write the settings in FILE, INI or not, in the language, resolved to one file."""
+    from winchdyke.config.writing import written
+
+    text = written(_loaded(file).values, f"Made from {file.name} by winchdyke config convert.")
+    if out is None:
+        click.echo(text, nl=False)
+    else:
+        out.write_text(text, encoding="utf-8")
+        click.echo(f"{out}: written; check it with winchdyke config check {out}")
+
+
+@command.command("reference")
+def reference() -> None:
+    """The reference page of all settings (docs/config.md)."""
+    from winchdyke.config.reference import page
+
+    click.echo(page(), nl=False)
--- a/winchdyke/cli/day.py
+++ b/winchdyke/cli/day.py
@@ -33,7 +33,10 @@
 @click.option(
     "--keep", type=click.Path(path_type=Path, file_okay=False), help="Keep the gateways' logs here."
 )
-def run(name: str, seed: int, length: float | None, out: Path | None, keep: Path | None) -> None:
+@click.option("--settings", "more", type=FILE, help="Settings put behind those of each gateway of the day.")
+def run(
+    name: str, seed: int, length: float | None, out: Path | None, more: Path | None, keep: Path | None
+) -> None:
     """Play NAME, a day of 'day list' or a file of 'day from-bench'. Ends with 1 where a rule is broken."""
     from winchdyke.days import judge, script
     from winchdyke.days.run import DayError, run_day
@@ -48,7 +51,7 @@
                 f"{name!r} is no day of 'winchdyke day list', nor a day file: {error}"
             ) from None
     try:
-        verdict, seen, ends = run_day(day, keep)
+        verdict, seen, ends = run_day(day, keep, more.read_text(encoding="utf-8") if more else "")
     except DayError as error:
         raise click.ClickException(str(error)) from None
     click.echo(judge.report(day, verdict))
--- a/winchdyke/cli/dev.py
+++ b/winchdyke/cli/dev.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from winchdyke.config import Config, defaults, parse
+from winchdyke.config.model import Listen
 
 STORES = 8
 
@@ -39,13 +40,9 @@
 
 def dev_config(list_port: int, host: str, port: int) -> Config:
     """The embedded settings, at a list service and an address."""
-    config = parse(defaults(), "defaults.ini")
-    listen = dataclasses.replace(config.gateway.listen, host=host, port=port)
-    return dataclasses.replace(
-        config,
-        gateway=dataclasses.replace(config.gateway, listen=listen),
-        nodes=dataclasses.replace(config.nodes, port=list_port),
-    )
+    config = parse(defaults(), "defaults.conf")
+    nodes = dataclasses.replace(config.nodes, port=list_port)
+    return dataclasses.replace(config, listeners=(("main", Listen(host, port)),), nodes=nodes)
 
 
 @click.command("dev")
@@ -60,7 +57,7 @@
     async def run() -> None:
         async with anyio.create_task_group() as group:
             config = dev_config(await stand_ins(group, STORES), "127.0.0.1", port)
-            logs.set_up("none" if quiet else config.gateway.log)
+            logs.set_up("none" if quiet else config.log.form)
 
             def started(gateway: daemon.Gateway) -> None:
                 host, chosen = gateway.address
--- a/winchdyke/config/__init__.py
+++ b/winchdyke/config/__init__.py
@@ -1,6 +1,39 @@
-"""Settings: their grammar, their check, and the typed model that all else reads."""
+"""Settings: their language, their check, and the typed model that all else reads."""
 
-from winchdyke.config.ini import ConfigError, Problem, defaults, load, parse
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+
+from winchdyke.config import ini, loading
+from winchdyke.config.diagnostics import ConfigError, Diagnostic, Source, Span
+from winchdyke.config.loading import Loaded
 from winchdyke.config.model import Config
+from winchdyke.config.sources import Unreadable, read
+
+__all__ = ["Config", "ConfigError", "Diagnostic", "Loaded", "defaults", "load", "load_all", "parse"]
+
+
+def load_all(path: Path) -> Loaded:
+    """The settings in a file, in the language or in INI, with where each value came from. ConfigError has every mistake."""
+    try:
+        text = read(path)
+    except Unreadable as error:
+        span = Span(Source(str(path), ""), error.line, error.column, error.column + 1)
+        raise ConfigError([Diagnostic(error.code, "file", str(error), error.fix, span)]) from error
+    return ini.load_text(text, str(path)) if ini.is_ini(text) else loading.load_file(path)
+
+
+def load(path: Path) -> Config:
+    """The settings in a file."""
+    return load_all(path).config
+
+
+def parse(text: str, file: str = "settings") -> Config:
+    """The settings in a text, in the language or in INI."""
+    return (ini.load_text(text, file) if ini.is_ini(text) else loading.load_text(text, file)).config
+
 
-__all__ = ["Config", "ConfigError", "Problem", "defaults", "load", "parse"]
+def defaults() -> str:
+    """The embedded settings that ``winchdyke dev`` starts from."""
+    return resources.files("winchdyke.config").joinpath("defaults.conf").read_text(encoding="utf-8")
--- /dev/null
+++ b/winchdyke/config/crosscheck.py
@@ -0,0 +1,202 @@
+"""What only shows between values: references, limits against plans, routes that never match, classes that can't work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from winchdyke.config.diagnostics import WARNING
+from winchdyke.config.matching import Pattern
+from winchdyke.config.schema import BLOCKS
+from winchdyke.config.types import Duration, nearest
+
+if TYPE_CHECKING:
+    from winchdyke.config.loading import Builder
+
+SHADOW_MOST = 4000  # routes up to which each is compared with those that come before it
+
+
+def check(builder: Builder) -> None:
+    """Check all; findings go to the builder."""
+    named: dict[str, dict[str, dict[str, Any]]] = {kind: {} for kind in BLOCKS}
+    for (kind, name), keys in builder.values.items():
+        named[kind][name] = keys
+    _references(builder, named)
+    _gateway(builder, named)
+    _classes(builder, named)
+    _plans(builder, named)
+    _volumes(builder, named)
+    _routes(builder, named)
+
+
+def _references(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    used: dict[str, set[str]] = {"plan": set(), "pool": set(), "class": set()}
+    for (kind, name), keys in builder.values.items():
+        for key, rule in BLOCKS[kind].keys.items():
+            value = keys.get(key)
+            if not rule.refers or not value:
+                continue
+            used[rule.refers].add(value)
+            if value not in named[rule.refers] and (rule.refers, value) not in builder.blocks:
+                shown = f"[{rule.refers} {value}]" if builder.ini else f"{rule.refers} {value!r}"
+                fix = nearest(value, named[rule.refers])
+                builder.say(kind, name, key, "undefined", f"there is no {shown}", fix)
+    for kind in ("plan", "pool"):
+        for name in named[kind]:
+            if name not in used[kind] and (kind, name) in builder.blocks:
+                builder.say(kind, name, "", "unused", f"no {'volume' if kind == 'plan' else 'volume or route'} uses it",
+                            "use it, or take it away", WARNING)  # fmt: skip
+    for name, keys in named["class"].items():
+        if (
+            "operations" in keys
+            and not keys["operations"]
+            and not keys.get("also")
+            and name not in used["class"]
+        ):
+            builder.say(
+                "class",
+                name,
+                "",
+                "unused",
+                "no operation and no route leads to it",
+                "add operations",
+                WARNING,
+            )
+
+
+def _gateway(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    gateway = named["gateway"].get("", {})
+    count = gateway.get("gateways", 1)
+    if gateway.get("index", 0) >= count:
+        text = f"counts from 0 and must be under gateways = {count}"
+        builder.say("gateway", "", "index", "out-of-range", text, f"write 0 to {count - 1}")
+    seen: dict[Any, str] = {}
+    for name, keys in named["listener"].items():
+        address = keys.get("address")
+        if address is None or not address.port:
+            continue
+        if address in seen:
+            text = f"listener {seen[address]!r} has the address {address.host}:{address.port} too"
+            builder.say("listener", name, "address", "same-address", text, "choose another port")
+        seen.setdefault(address, name)
+
+
+def _classes(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    owner: dict[str, str] = {}
+    show = Duration().show
+    for name, keys in named["class"].items():
+        aim, deadline, memory = keys.get("aim"), keys.get("deadline"), keys.get("memory")
+        if aim is not None and deadline is not None and aim > deadline:
+            meant = f"; was {show(aim / 1000)} meant?" if aim / 1000 >= 1 else ""
+            text = f"is longer than the deadline {show(deadline)}{meant}"
+            builder.say("class", name, "aim", "aim-past-deadline", text, "an aim comes before its deadline")
+        if keys.get("effect") == "keyed" and memory is not None and deadline is not None:
+            if not memory:
+                text = "a keyed class states how long stores drop its repeats"
+                builder.say(
+                    "class", name, "memory", "no-memory", text, "write memory = 4s, as the stores have it"
+                )
+            elif memory < deadline:
+                text = f"stores forget its keys after {show(memory)}, before its deadline {show(deadline)}"
+                fix = "a repeat late in a request's time is failed, not sent; raise the memory or lower the deadline"
+                builder.say("class", name, "memory", "short-memory", text, fix, WARNING)
+        for operation in keys.get("operations") or ():
+            if operation in owner and not builder.ini:
+                text = f"{operation} falls into class {owner[operation]!r} already"
+                builder.say(
+                    "class", name, "operations", "ambiguous", text, f"write also = {operation} in one of them"
+                )
+            owner.setdefault(operation, name)
+
+
+def _plans(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    largest = named["rules"].get("", {}).get("largest_units", 0)
+    for name, keys in named["plan"].items():
+        limit, reserve, burst = keys.get("limit"), keys.get("reserve"), keys.get("limit_burst")
+        if limit and burst is not None and burst < largest:
+            text = f"is under largest_units = {largest:g}, so those never fit"
+            builder.say("plan", name, "limit_burst", "burst-too-small", text, f"write {largest:g} or more")
+        if limit and reserve and limit < reserve:
+            text = f"is under the reserve of {reserve:g} units/s, which can then never be used"
+            builder.say(
+                "plan", name, "limit", "limit-under-reserve", text, "raise the limit or lower the reserve"
+            )
+    stores = [keys for keys in named["store"].values() if "capacity" in keys]
+    if not stores or any(not keys["capacity"] for keys in stores):
+        return
+    capacity = sum(keys["capacity"] for keys in stores)
+    promised = 0.0
+    for name, keys in named["volume"].items():
+        plan = named["plan"].get(keys.get("plan") or "", {})
+        promised += plan.get("reserve") or 0.0
+        if promised > capacity and plan.get("reserve"):
+            text = f"reserves come to {promised:g} units/s here, and all stores can do {capacity:g}"
+            builder.say("volume", name, "plan", "reserves-too-large", text, "lower reserves, or add stores")
+            return
+
+
+def _volumes(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    count = named["gateway"].get("", {}).get("gateways", 1)
+    for name, keys in named["volume"].items():
+        if keys.get("gateways", 1) > count:
+            text = f"is more than the {count} gateways there are"
+            builder.say("volume", name, "gateways", "out-of-range", text, f"write {count} or less")
+        pool, shards = keys.get("pool"), keys.get("shards")
+        tried = {key for kind, there, key in builder.origins if (kind, there) == ("volume", name)}
+        if not pool and not shards and {"pool", "shards"} <= keys.keys() and tried:
+            builder.say(
+                "volume",
+                name,
+                "shards",
+                "missing",
+                "is missing and has no default",
+                "add shards = 0-7, or a pool",
+            )
+        if pool and shards:
+            builder.say("volume", name, "shards", "both", "a pool is given too", "keep one of the two")
+
+
+def _patterns(named: dict[str, dict[str, dict[str, Any]]]) -> list[tuple[Pattern, dict[str, Any]]]:
+    found = []
+    for name, keys in named["route"].items():
+        if {"priority", "volume", "key", "method", "header", "size"} <= keys.keys():
+            parts = (keys[key] for key in ("priority", "volume", "key", "method", "header", "size"))
+            found.append((Pattern(name, *parts), keys))
+    return sorted(found, key=lambda entry: (tuple(-part for part in entry[0].rank), entry[0].name))
+
+
+def _routes(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    patterns = _patterns(named)
+    by_volume: dict[str, list[Pattern]] = {}
+    for pattern, keys in patterns:
+        name = pattern.name
+        if not keys.get("class") and not keys.get("pool"):
+            text = "gives neither a class nor a pool"
+            builder.say("route", name, "", "does-nothing", text, "add class = NAME or pool = NAME")
+        if keys.get("pool") and (pattern.methods or pattern.header or pattern.size):
+            text = "a route that chooses a pool matches on volume and key alone"
+            fix = "what one method writes another would not find; take method, header and size away, or the pool"
+            builder.say("route", name, "pool", "pool-by-method", text, fix)
+        # Only a route whose volume pattern is the same or a beginning of this one's can cover it.
+        volume = pattern.volume.rstrip("*")
+        for end in range(len(volume) + 1) if len(patterns) <= SHADOW_MOST else (len(volume),):
+            places = [volume[:end] + "*"] + ([pattern.volume] if end == len(volume) else [])
+            before = next(
+                (
+                    each
+                    for place in dict.fromkeys(places)
+                    for each in by_volume.get(place, ())
+                    if each.covers(pattern)
+                ),
+                None,
+            )
+            if before is not None:
+                same = before.covers(pattern) and pattern.covers(before)
+                text = f"can never match: route {before.name!r} takes all its requests first"
+                fix = (
+                    "the two ask for the same; keep one"
+                    if same
+                    else f"lower the priority of {before.name!r}, or take one away"
+                )
+                builder.say("route", name, "", "shadowed", text, fix, WARNING)
+                break
+        by_volume.setdefault(pattern.volume, []).append(pattern)
--- /dev/null
+++ b/winchdyke/config/loading.py
@@ -0,0 +1,559 @@
+"""From statements to the typed model: names, references, templates, defaults, types, cross-checks. All errors at once.
+
+Everything is read into ``Values``, a flat table of (kind, name) -> key -> value; ``assemble`` makes the model of it.
+The flat table is also what the diff compares and what is written back out.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import unicodedata
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from winchdyke import interface as api
+from winchdyke.config import crosscheck, model, schema
+from winchdyke.config.diagnostics import ERROR, WARNING, ConfigError, Diagnostic, Source, Span
+from winchdyke.config.matching import Pattern, Route
+from winchdyke.config.schema import BLOCKS, NONE
+from winchdyke.config.sources import Files
+from winchdyke.config.syntax import Block, Directive, Item, Setting, Statement, Word
+from winchdyke.config.types import Wrong, nearest
+
+Where = tuple[str, str]  # kind and name of a block; the name is empty where the kind has none
+Values = dict[Where, dict[str, Any]]
+UNSET = None
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a value came from: its place (None: built in) and by what way."""
+
+    span: Span | None
+    way: str = ""
+
+
+@dataclass
+class Loaded:
+    """Settings that can be used, with where each value came from and what is doubtful about them."""
+
+    config: model.Config
+    values: Values
+    origins: dict[tuple[str, str, str], Origin]
+    warnings: list[Diagnostic]
+    sources: list[Source] = field(default_factory=list)
+
+
+class Builder:
+    """Statements on their way to values. ``ini`` says that they come from INI, where units of rates may be left out."""
+
+    def __init__(self, ini: bool = False, environ: Mapping[str, str] | None = None) -> None:
+        self.ini = ini
+        self.environ = os.environ if environ is None else environ
+        self.problems: list[Diagnostic] = []
+        self.values: Values = {}
+        self.origins: dict[tuple[str, str, str], Origin] = {}
+        self.blocks: dict[Where, Block] = {}
+        self.lets: dict[str, Setting] = {}
+        self.templates: dict[str, Block] = {}
+        self.defaults: dict[str, Block] = {}
+        self.used: set[str] = set()
+        self.top = Span(Source("settings", ""), 1)
+
+    # What is said.
+
+    def title(self, kind: str, name: str) -> str:
+        """A block as its own form calls it."""
+        return f"[{kind} {name}]".replace(" ]", "]") if self.ini else f"{kind} {name}".strip()
+
+    def add(
+        self,
+        code: str,
+        where: str,
+        text: str,
+        fix: str,
+        span: Span,
+        *related: tuple[str, Span],
+        severity: str = ERROR,
+    ) -> None:
+        """Note a finding."""
+        self.problems.append(Diagnostic(code, where, text, fix, span, severity, related))
+
+    def say(
+        self, kind: str, name: str, key: str, code: str, text: str, fix: str, severity: str = ERROR
+    ) -> None:
+        """Note a finding about a value, at the place it came from."""
+        origin = self.origins.get((kind, name, key))
+        block = self.blocks.get((kind, name))
+        span = origin.span if origin and origin.span else block.span if block else self.top
+        title = self.title(kind, name)
+        where = title if not key else f"{title} {key}" if self.ini else f"{title}: {key}"
+        self.add(code, where, text, fix, span, severity=severity)
+
+    # Statements.
+
+    def take(self, statements: list[Statement] | tuple[Statement, ...]) -> None:
+        """Sort statements by what they are."""
+        if statements:
+            self.top = Span(statements[0].span.source, 1)
+        for statement in statements:
+            if isinstance(statement, Block):
+                self._block(statement)
+            elif isinstance(statement, Setting):
+                self._top_setting(statement)
+            else:
+                self._directive(statement)
+
+    def _top_setting(self, setting: Setting) -> None:
+        words = setting.words
+        if words[0].text == "let" and len(words) == 2:
+            name = words[1]
+            if self._name_is_good(name, "named value") and not self._twice(
+                self.lets, name.text, setting, "named value"
+            ):
+                self.lets[name.text] = setting
+            return
+        fix = "put it in a block, or write let NAME = value for a named value"
+        self.add("outside-block", "", f"{words[0].text!r} is set outside of every block", fix, setting.span)
+
+    def _directive(self, directive: Directive) -> None:
+        words = directive.words
+        kinds = [*BLOCKS, "template", "defaults", "include"]
+        first = words[0].text
+        if first in kinds and first != "include":
+            fix = f"write {' '.join(word.text for word in words)} {{"
+            self.add("no-brace", "", f"the {first} has no {{", fix, words[-1].span)
+        else:
+            self.add(
+                "unknown",
+                "",
+                f"{first!r} is no word that begins a line here",
+                nearest(first, kinds),
+                words[0].span,
+            )
+
+    def _twice(self, table: Mapping[Any, Any], key: object, statement: Setting | Block, what: str) -> bool:
+        if key not in table:
+            return False
+        first = table[key].span
+        name = key if isinstance(key, str) else " ".join(str(part) for part in key).strip()  # type: ignore[attr-defined]
+        text = f"section [{name}] is given twice" if self.ini else f"{what} {name!r} is given twice"
+        self.add(
+            "twice",
+            "",
+            text,
+            f"keep one, or merge them; the first is at {first}",
+            statement.span,
+            ("first here", first),
+        )
+        return True
+
+    def _block(self, block: Block) -> None:
+        kind, *rest = block.words
+        if kind.text == "template":
+            if len(rest) != 1:
+                self.add("bad-block", "", "a template has one name", "write template NAME {", kind.span)
+            elif self._name_is_good(rest[0], "template") and not self._twice(
+                self.templates, rest[0].text, block, "template"
+            ):
+                self.templates[rest[0].text] = block
+            return
+        if kind.text == "defaults":
+            if len(rest) != 1 or rest[0].text not in BLOCKS:
+                given = rest[0] if rest else kind
+                fix = nearest(given.text, BLOCKS) if rest else "write defaults class {"
+                self.add("bad-block", "", "defaults are for a kind of block", fix, given.span)
+            elif not self._twice(self.defaults, rest[0].text, block, "defaults"):
+                self.defaults[rest[0].text] = block
+            return
+        self._own_block(block, kind, rest)
+
+    def _own_block(self, block: Block, kind: Word, rest: list[Word]) -> None:
+        known = BLOCKS.get(kind.text)
+        if known is None:
+            what = "no section of this name" if self.ini else f"{kind.text!r} is no kind of block"
+            where = self.title(kind.text, " ".join(word.text for word in rest)) if self.ini else ""
+            names = BLOCKS if self.ini else [*BLOCKS, "template", "defaults"]
+            self.add("unknown-block", where, what, nearest(kind.text, names), kind.span)
+            return
+        words = [word.text for word in rest]
+        if "from" in words:
+            rest = rest[: words.index("from")]
+            if len(words) != len(rest) + 2:
+                self.add(
+                    "bad-block",
+                    "",
+                    "from is followed by one template",
+                    f"write {kind.text} NAME from TEMPLATE {{",
+                    kind.span,
+                )
+                return
+        where = self.title(kind.text, " ".join(words))
+        if known.name is None and rest:
+            text = f"[{kind.text}] takes no name" if self.ini else f"a {kind.text} block takes no name"
+            self.add(
+                "bad-block",
+                where,
+                text,
+                f"write {kind.text} {{" if not self.ini else f"write [{kind.text}]",
+                rest[0].span,
+            )
+            return
+        if known.name is not None and len(rest) != 1:
+            form = f"[{kind.text} NAME]" if self.ini else f"{kind.text} NAME {{"
+            text = f"a {kind.text} needs a name" if not rest else f"a {kind.text} has one name"
+            self.add("bad-block", where, text, f"as in {form}", (rest or [kind])[-1].span)
+            return
+        name = ""
+        if known.name is not None:
+            try:
+                read = known.name.text(rest[0])
+            except Wrong as wrong:
+                self.add(wrong.code, where, str(wrong), wrong.fix, rest[0].span)
+                return
+            name = known.name.show(read) if not isinstance(read, str) else read
+            if kind.text not in ("store", "volume") and not self._name_is_good(rest[0], kind.text):
+                return
+        if not self._twice(self.blocks, (kind.text, name), block, kind.text):
+            self.blocks[kind.text, name] = block
+
+    def _name_is_good(self, word: Word, what: str) -> bool:
+        text = word.text
+        odd = next((sign for sign in text if ord(sign) > 127), "")
+        if odd:
+            shown = f"{odd!r} (U+{ord(odd):04X}, {unicodedata.name(odd, 'unnamed')})"
+            fix = "write names in a-z, A-Z, 0-9, dots, dashes and underscores; other letters may look alike and are not"
+            self.add("look-alike", "", f"the name {text!r} has the letter {shown}", fix, word.span)
+            return False
+        if not _NAME.fullmatch(text):
+            fix = "letters, digits, dots, dashes and underscores, 64 at most, a letter or digit first"
+            self.add("bad-name", "", f"{text!r} is no name", fix, word.span)
+            return False
+        if text in schema.WORDS or (text in BLOCKS and not self.ini):
+            self.add(
+                "keyword",
+                "",
+                f"{text!r} is a word of the language",
+                f"choose another name for the {what}",
+                word.span,
+            )
+            return False
+        return True
+
+    # Values.
+
+    def build(self) -> None:
+        """Read every block into values."""
+        for where in self.blocks:
+            self._values(where)
+        for kind, known in BLOCKS.items():
+            if known.name is None and (kind, "") not in self.blocks:
+                self._values((kind, ""))
+            if known.needed and known.name is not None and not any(there == kind for there, _ in self.blocks):
+                form = f"[{kind} NAME]" if self.ini else f"{kind} NAME {{ ... }}"
+                text = f"no {kind} is set up; at least one is needed"
+                self.add("missing-block", form if self.ini else kind, text, f"add {form}", self.top)
+        for what, table in (("named value", self.lets), ("template", self.templates)):
+            for name, statement in table.items():
+                if name not in self.used:
+                    text, fix = f"the {what} {name!r} is never used", "use it, or take it away"
+                    self.add("unused", "", text, fix, statement.span, severity=WARNING)
+
+    def _values(self, where: Where) -> None:
+        kind, name = where
+        keys = BLOCKS[kind].keys
+        block = self.blocks.get(where)
+        own = self._settings(block, keys, where) if block else {}
+        layers: list[tuple[dict[str, Setting], str]] = [(own, "")]
+        words = [word.text for word in block.words] if block else []
+        if block and "from" in words:
+            chosen = block.words[-1]
+            template = self.templates.get(chosen.text)
+            if template is None:
+                text = f"there is no template {chosen.text!r}"
+                self.add(
+                    "undefined",
+                    self.title(kind, name),
+                    text,
+                    nearest(chosen.text, self.templates),
+                    chosen.span,
+                )
+            else:
+                self.used.add(chosen.text)
+                layers.append((self._settings(template, keys, where), f"template {chosen.text}"))
+        if kind in self.defaults:
+            layers.append((self._settings(self.defaults[kind], keys, where), f"defaults {kind}"))
+        values = self.values[where] = {}
+        for key, rule in keys.items():
+            found = next(((layer[key], way) for layer, way in layers if key in layer), None)
+            if found is not None:
+                setting, way = found
+                self.origins[kind, name, key] = Origin(setting.span, way)
+                self._read(where, key, rule, setting)
+            elif rule.default is None:
+                if block is not None or BLOCKS[kind].needed:
+                    self.say(
+                        kind,
+                        name,
+                        key,
+                        "missing",
+                        "is missing and has no default",
+                        f"add {key} = {self._example(rule)}",
+                    )
+            else:
+                self.origins[kind, name, key] = Origin(None, "built in")
+                values[key] = _default(rule)
+
+    @staticmethod
+    def _example(rule: schema.Key) -> str:
+        examples = {
+            "time": "400ms",
+            "size": "64KiB",
+            "rate": "8 units/s",
+            "address": "127.0.0.1:8080",
+            "shards": "0-7",
+        }
+        allowed = getattr(rule.type, "allowed", ())
+        return examples.get(rule.type.words, allowed[0] if allowed else "...")
+
+    def _settings(self, block: Block, keys: Mapping[str, schema.Key], where: Where) -> dict[str, Setting]:
+        found: dict[str, Setting] = {}
+        for statement in block.body:
+            span = statement.span
+            title = self.title(*where)
+            if isinstance(statement, Directive) and statement.words[0].text == "include":
+                continue  # told where it was read
+            if not isinstance(statement, Setting):
+                first = statement.words[0].text
+                inner = isinstance(statement, Block)
+                text = f"a block {first!r} stands inside a {where[0]}" if inner else f"{first!r} has no value"
+                fix = "close the block above first" if inner else f"write {first} = value"
+                self.add("bad-line", title, text, fix, span)
+                continue
+            words = statement.words
+            key = words[0].text
+            if len(words) != 1:
+                fix = (
+                    f"write {key} = {' '.join(word.text for word in words[1:])} ..."
+                    if key in keys
+                    else "one word before ="
+                )
+                self.add("bad-key", title, f"{' '.join(word.text for word in words)!r} is no key", fix, span)
+            elif key not in keys:
+                text = "no key of this name" if self.ini else f"{key!r} is no key of a {where[0]}"
+                self.add(
+                    "unknown-key", f"{title} {key}" if self.ini else title, text, nearest(key, keys), span
+                )
+            elif key in found:
+                first_at = found[key].span
+                text = f"key {key!r} is given twice"
+                self.add(
+                    "twice",
+                    title,
+                    text,
+                    f"keep one; the first is at {first_at}",
+                    span,
+                    ("first here", first_at),
+                )
+            else:
+                found[key] = statement
+        return found
+
+    def _read(self, where: Where, key: str, rule: schema.Key, setting: Setting) -> None:
+        kind, name = where
+        before = len(self.problems)
+        items = self._expanded(setting.items, (), setting)
+        title = self.title(kind, name)
+        at = f"{title} {key}" if self.ini else f"{title}: {key}"
+        if len(self.problems) > before:
+            return
+        if not items or not all(items):
+            self.add("no-value", at, "has no value", f"write {key} = {self._example(rule)}", setting.span)
+            return
+        try:
+            value = rule.type.read(items, self.ini)
+        except Wrong as wrong:
+            span = wrong.word.span if wrong.word else setting.span
+            self.add(wrong.code, at, str(wrong), wrong.fix, span)
+            return
+        self.values[where][key] = value
+        if doubt := rule.type.doubt(value):
+            self.add(
+                "doubtful",
+                at,
+                doubt,
+                "write what is meant, if this is not",
+                items[0][0].span,
+                severity=WARNING,
+            )
+
+    def _expanded(
+        self, items: tuple[Item, ...], through: tuple[str, ...], setting: Setting
+    ) -> tuple[Item, ...]:
+        """Items with their references replaced."""
+        if self.ini or not any(
+            word.text.startswith("$") and not word.quoted for item in items for word in item
+        ):
+            return items
+        found: list[Item] = []
+        for item in items:
+            if len(item) == 1 and not item[0].quoted and item[0].text.startswith("$"):
+                found += self._reference(item[0], through, setting)
+                continue
+            words: list[Word] = []
+            for word in item:
+                if word.quoted or not word.text.startswith("$"):
+                    words.append(word)
+                    continue
+                inner = self._reference(word, through, setting)
+                if len(inner) > 1:
+                    self.add(
+                        "bad-reference",
+                        "",
+                        f"{word.text} has several values",
+                        "use it alone as a value",
+                        word.span,
+                    )
+                words += inner[0] if inner else ()
+            found.append(tuple(words))
+        return tuple(found)
+
+    def _reference(self, word: Word, through: tuple[str, ...], setting: Setting) -> tuple[Item, ...]:
+        name = word.text[1:]
+        if name.startswith("env:"):
+            variable, bar, default = name[4:].partition("|")
+            value = self.environ.get(variable)
+            if value is None and not bar:
+                fix = f"set it, or write $env:{variable}|VALUE for a default"
+                self.add("no-env", "", f"the environment has no {variable!r}", fix, word.span)
+                return ()
+            text = default if value is None else value
+            return ((Word(text, True, word.span),),)
+        if name not in self.lets:
+            fix = nearest(name, self.lets) if self.lets else f"write let {name} = value at the top of a file"
+            self.add("undefined", "", f"there is no named value ${name}", fix, word.span)
+            return ()
+        self.used.add(name)
+        if name in through:
+            loop = " -> ".join(f"${each}" for each in (*through[through.index(name) :], name))
+            self.add(
+                "let-loop",
+                "",
+                f"named values go round: {loop}",
+                "give one of them a value of its own",
+                word.span,
+            )
+            return ()
+        return self._expanded(self.lets[name].items, (*through, name), setting)
+
+
+def _default(rule: schema.Key) -> Any:
+    if rule.default == NONE:
+        return UNSET if not rule.type.several else ()
+    word = Word("" if rule.default == '""' else str(rule.default), True, Span(Source("built in", ""), 1))
+    return rule.type.read(((word,),))
+
+
+def assemble(values: Values) -> model.Config:
+    """The typed model of a whole table of values. Order of blocks means nothing: they are sorted by name."""
+
+    def named(kind: str) -> list[tuple[str, dict[str, Any]]]:
+        return sorted((name, keys) for (there, name), keys in values.items() if there == kind)
+
+    pools = {name: keys["shards"] for name, keys in named("pool")}
+    nodes = values["nodes", ""]
+    host, port, path = nodes["list"]
+    effects = {
+        "idempotent": api.Effect.IDEMPOTENT, "keyed": api.Effect.KEYED, "at-most-once": api.Effect.AT_MOST_ONCE,
+    }  # fmt: skip
+    kinds = []
+    for name, keys in named("class"):
+        rules = api.RequestClass(
+            name=name,
+            worth=keys["worth"],
+            aim_ms=keys["aim"],
+            deadline_ms=keys["deadline"],
+            late_share=keys["late_share"],
+            effect=effects[keys["effect"]],
+            scope=api.Scope(keys["scope"]),
+            memory_ms=keys["memory"],
+            streamed=keys["streamed"],
+            in_order=keys["in_order"],
+            writes=keys["writes"],
+        )
+        unit = max(1, keys["unit_bytes"])
+        kinds.append(model.Kind(rules, keys["operations"], keys["also"], unit, keys["usual_units"]))
+    routes = []
+    for name, keys in named("route"):
+        pattern = Pattern(
+            name, keys["priority"], keys["volume"], keys["key"], keys["method"], keys["header"], keys["size"]
+        )  # fmt: skip
+        shards = keys.get("shards") or (pools[keys["pool"]] if keys["pool"] else ())
+        routes.append(Route(pattern, keys["class"] or "", shards))
+    return model.Config(
+        gateway=model.Gateway(**values["gateway", ""]),
+        listeners=tuple((name, keys["address"]) for name, keys in named("listener")),
+        log=model.Log(**values["log", ""]),
+        limits=model.Limits(**values["limits", ""]),
+        nodes=model.Discovery(
+            host, port, path, nodes["discovery"] == "asked", nodes["wait"], nodes["timeout"]
+        ),
+        rules=model.Rules(**values["rules", ""]),
+        kinds=tuple(kinds),
+        plans=tuple(api.Plan(name, **keys) for name, keys in named("plan")),
+        stores=tuple(
+            model.Store(_address(name), keys["shard"], keys["capacity"], keys["answers_in"])
+            for name, keys in named("store")
+        ),
+        volumes=tuple(
+            model.VolumeRule(name, keys["plan"], keys["shards"] or pools[keys["pool"]], keys["gateways"])
+            for name, keys in named("volume")
+        ),
+        routes=tuple(routes),
+    )
+
+
+def _address(text: str) -> model.Listen:
+    host, _, port = text.rpartition(":")
+    return model.Listen(host.strip("[]"), int(port))
+
+
+def finish(builder: Builder, sources: list[Source]) -> Loaded:
+    """Check what was built as a whole, and make the model. ConfigError with every mistake."""
+    builder.build()
+    crosscheck.check(builder)
+    errors = [problem for problem in builder.problems if problem.severity == ERROR]
+    if errors:
+        raise ConfigError(errors)
+    warnings = sorted(builder.problems, key=lambda each: (each.span.source.file, each.line))
+    return Loaded(assemble(builder.values), builder.values, builder.origins, warnings, sources)
+
+
+def load_file(path: Path, environ: Mapping[str, str] | None = None) -> Loaded:
+    """Settings in the language, from a file and what it includes."""
+    files = Files()
+    files.load(path)
+    return _from(files, environ)
+
+
+def load_text(text: str, file: str = "settings", environ: Mapping[str, str] | None = None) -> Loaded:
+    """Settings in the language, from a text."""
+    files = Files()
+    files.text(text, file)
+    return _from(files, environ)
+
+
+def _from(files: Files, environ: Mapping[str, str] | None) -> Loaded:
+    builder = Builder(environ=environ)
+    builder.problems += files.problems
+    builder.take(files.statements)
+    if files.sources:
+        builder.top = Span(files.sources[0], 1)
+    if any(problem.severity == ERROR for problem in files.problems):
+        # What could not be parsed would look missing: only what is certainly wrong is told beside it.
+        raise ConfigError([problem for problem in builder.problems if problem.severity == ERROR])
+    return finish(builder, files.sources)
--- /dev/null
+++ b/winchdyke/config/meaning.py
@@ -0,0 +1,281 @@
+"""What a change of settings means: compared after includes, templates, defaults and units are resolved. Pure.
+
+A change is a path (kind, name, key) with its old and new value; applied to the old settings, all changes together give
+the new ones. For routes it is also told which requests go elsewhere, with one that is answered differently.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from dataclasses import dataclass
+from typing import Any
+
+from winchdyke import interface as api
+from winchdyke.config import schema
+from winchdyke.config.loading import Values, assemble
+from winchdyke.config.matching import Asked, Pattern, Route
+from winchdyke.config.model import Config
+from winchdyke.config.types import Address
+
+GONE = None
+SAMPLES = 400  # example requests that are tried for each side's routes at the most
+EFFECTS = {
+    api.Effect.IDEMPOTENT: "idempotent", api.Effect.KEYED: "keyed", api.Effect.AT_MOST_ONCE: "at-most-once",
+}  # fmt: skip
+LOOSER_UP = {  # rules' figures that promise less when they grow
+    "fall_multiple", "cold_units", "extra_free", "extra_share", "max_attempts", "cold_from",
+}  # fmt: skip
+LOOSER_DOWN = {"warm_after", "settle", "extra_window", "fall_window"}
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One value that differs; None: there is none on that side. ``key`` is empty for a whole block."""
+
+    kind: str
+    name: str
+    key: str
+    old: Any
+    new: Any
+    text: str
+    risk: str = ""
+
+    def data(self) -> dict[str, Any]:
+        """As plain values, for JSON."""
+        path = ".".join(part for part in (self.kind, self.name, self.key) if part)
+        return {"path": path, "text": self.text, "risk": self.risk}
+
+
+def table(config: Config) -> Values:
+    """The settings as a flat table, with names of pools resolved to shards."""
+    values: Values = {
+        ("gateway", ""): dataclasses.asdict(config.gateway),
+        ("log", ""): dataclasses.asdict(config.log),
+        ("limits", ""): dataclasses.asdict(config.limits),
+        ("rules", ""): dataclasses.asdict(config.rules),
+    }
+    nodes = config.nodes
+    values["nodes", ""] = {
+        "list": (nodes.host, nodes.port, nodes.path), "discovery": "asked" if nodes.must_ask else "pushed",
+        "wait": nodes.wait, "timeout": nodes.timeout,
+    }  # fmt: skip
+    for name, address in config.listeners:
+        values["listener", name] = {"address": address}
+    for kind in config.kinds:
+        rules = kind.rules
+        values["class", rules.name] = {
+            "operations": kind.operations, "also": kind.also, "worth": rules.worth, "aim": rules.aim_ms,
+            "deadline": rules.deadline_ms, "late_share": rules.late_share, "effect": EFFECTS[rules.effect],
+            "scope": rules.scope.value, "memory": rules.memory_ms, "streamed": rules.streamed, "in_order": rules.in_order,
+            "writes": rules.writes, "unit_bytes": kind.unit_bytes, "usual_units": kind.usual_units,
+        }  # fmt: skip
+    for plan in config.plans:
+        values["plan", plan.name] = {key: getattr(plan, key) for key in schema.BLOCKS["plan"].keys}
+    for store in config.stores:
+        values["store", Address().show(store.address)] = {
+            "shard": store.shard, "capacity": store.capacity, "answers_in": store.answers_in,
+        }  # fmt: skip
+    for rule in config.volumes:
+        values["volume", rule.pattern] = {
+            "plan": rule.plan, "pool": None, "shards": rule.shards, "gateways": rule.gateways,
+        }  # fmt: skip
+    for route in config.routes:
+        pattern = route.pattern
+        values["route", pattern.name] = {
+            "priority": pattern.priority, "volume": pattern.volume, "key": pattern.key, "method": pattern.methods,
+            "header": pattern.header, "size": pattern.size, "class": route.class_name or None, "pool": None,
+            "shards": route.shards,
+        }  # fmt: skip
+    return values
+
+
+def diff(old: Config, new: Config) -> list[Change]:
+    """What differs, in the order of the reference."""
+    before, after = table(old), table(new)
+    found: list[Change] = []
+    for kind in schema.BLOCKS:
+        names = sorted({name for there, name in (*before, *after) if there == kind})
+        for name in names:
+            a, b = before.get((kind, name)), after.get((kind, name))
+            if a == b:
+                continue
+            title = f"{kind} {name}".strip()
+            if a is None:
+                found.append(
+                    Change(kind, name, "", GONE, _frozen(b or {}), f"{title} is new", _added(kind, b or {}))
+                )
+            elif b is None:
+                found.append(
+                    Change(kind, name, "", _frozen(a), GONE, f"{title} is gone", _removed(kind, name, a, new))
+                )
+            else:
+                found += [_changed(kind, name, key, a[key], b[key]) for key in a if a[key] != b[key]]
+    return found
+
+
+def _frozen(keys: dict[str, Any]) -> tuple[tuple[str, Any], ...]:
+    return tuple(keys.items())
+
+
+def apply(old: Config, changes: list[Change]) -> Config:
+    """The settings that changes make of old ones."""
+    values = {where: dict(keys) for where, keys in table(old).items()}
+    for change in changes:
+        where = change.kind, change.name
+        if change.key:
+            values[where][change.key] = change.new
+        elif change.new is GONE:
+            del values[where]
+        else:
+            values[where] = dict(change.new)
+    return assemble(values)
+
+
+def show(kind: str, key: str, value: Any) -> str:
+    """A value as the language writes it."""
+    rule = schema.BLOCKS[kind].keys.get(key)
+    if value is None or value == ():
+        return "nothing"
+    return rule.type.show(value) if rule else str(value)
+
+
+def _changed(kind: str, name: str, key: str, old: Any, new: Any) -> Change:
+    title = f"{kind} {name}".strip()
+    text = f"{title}: {key} {show(kind, key, old)} -> {show(kind, key, new)}"
+    return Change(kind, name, key, old, new, text, _risk(kind, key, old, new))
+
+
+def _risk(kind: str, key: str, old: Any, new: Any) -> str:
+    """What may go wrong with a changed value; empty where nothing is known to."""
+    if kind == "plan" and key == "limit":
+        if new and (not old or new < old):
+            return "volumes that use more now are refused what is beyond it"
+        return "the limit is looser: others on the same stores may get less"
+    if kind == "plan" and key == "reserve" and new < old:
+        return "less is served in full when stores are busy"
+    if kind == "rules" and ((key in LOOSER_UP and new > old) or (key in LOOSER_DOWN and new < old)):
+        return "a rule is loosened: stores must really bear it"
+    if kind == "class" and key == "effect":
+        order = ("at-most-once", "keyed", "idempotent")
+        if order.index(new) > order.index(old):
+            return "a rule is loosened: requests that may have run are sent again"
+    if kind == "class" and key == "memory" and new > old:
+        return "a rule is loosened: stores must remember keys that long"
+    if (
+        kind == "class"
+        and key == "scope"
+        and ("cell", "zone", "all").index(new) > ("cell", "zone", "all").index(old)
+    ):
+        return "a rule is loosened: more stores must know each other's keys"
+    if kind == "class" and key == "in_order" and not new:
+        return "a rule is loosened: requests of one key may run side by side"
+    if kind == "class" and key == "deadline" and new < old:
+        return "requests that took longer are failed"
+    if kind in ("volume", "route") and key in ("shards", "volume", "key"):
+        return "objects already stored may be looked for on other shards, and not found"
+    if kind == "volume" and key == "gateways":
+        return "each gateway's part of reserve and limit changes with it"
+    if kind == "limits" and key == "object_bytes" and new < old:
+        return "larger objects are refused"
+    return ""
+
+
+def _added(kind: str, keys: dict[str, Any]) -> str:
+    if kind in ("volume", "route") and keys.get("shards"):
+        return "objects of the volumes it takes may be looked for on other shards, and not found"
+    return ""
+
+
+def _removed(kind: str, name: str, keys: dict[str, Any], new: Config) -> str:
+    if kind == "store":
+        others = [store for store in new.stores if store.shard == keys["shard"]]
+        return "" if others else f"shard {keys['shard']} has no store any more"
+    if kind == "volume":
+        left = new.volume(name.rstrip("*") or "any")
+        return (
+            "its volumes are unknown then: 404"
+            if left is None
+            else f"its volumes fall under {left.pattern!r} then"
+        )
+    if kind == "class":
+        return "its operations have no class then, or another one"
+    return "clients that connect there are refused" if kind == "listener" else ""
+
+
+# Routes: which requests go elsewhere.
+
+
+@dataclass(frozen=True, slots=True)
+class Rerouted:
+    """A request that is answered differently, and how."""
+
+    asked: Asked
+    old: str
+    new: str
+
+    def __str__(self) -> str:
+        size = f" of {self.asked.size} bytes" if self.asked.size else ""
+        header = "".join(f" with {name}: {value}" for name, value in self.asked.headers.items())
+        path = f"/{self.asked.volume}/{self.asked.key}"
+        return f"{self.asked.method} {path}{size}{header}: {self.old} -> {self.new}"
+
+
+def _examples(patterns: list[Pattern], volumes: list[str]) -> list[Asked]:
+    """Requests at the edges of patterns: one that each takes, and its neighbours."""
+    found: list[Asked] = []
+    for pattern in patterns[:SAMPLES]:
+        names = (
+            [pattern.volume[:-1] + ("x" if pattern.volume != "*" else "any")]
+            if pattern.volume.endswith("*")
+            else []
+        )
+        names = names or [pattern.volume]
+        keys = [pattern.key + "object", "other"] if pattern.key else ["object"]
+        methods = [*pattern.methods[:2], *(m for m in ("GET", "PUT") if m not in pattern.methods)][:3]
+        low, high = pattern.size or (-1, 0)
+        sizes = sorted({max(0, low), max(0, low) + 1, min(high, 2**40), 0})
+        headers: list[dict[str, str]] = [{}] + ([dict([pattern.header])] if pattern.header else [])
+        for volume, key, method, size, header in itertools.product(names, keys, methods, sizes, headers):
+            found.append(Asked(method, volume, key, size, header))
+    found += [
+        Asked(method, (name.rstrip("*") or "any"), "object")
+        for name in volumes[:SAMPLES]
+        for method in ("GET", "PUT")
+    ]
+    return found
+
+
+OPERATION = {"GET": "get", "HEAD": "head", "PUT": "put", "POST": "post", "DELETE": "delete"}
+
+
+def outcome(config: Config, asked: Asked) -> str:
+    """Where a request goes: its class, its plan and its shards."""
+    volume = config.volume(asked.volume)
+    if volume is None:
+        return "404, no such volume"
+    route: Route | None = config.matcher.match(asked)
+    operation = OPERATION[asked.method]
+    kind = config.kind_for(operation, route.class_name if route and route.class_name else None)
+    kind = kind or config.kind_for(operation, None)
+    shards = route.shards if route and route.shards else volume.shards
+    name = kind.rules.name if kind else "no class"
+    return (
+        f"class {name}, plan {volume.plan}, shards {schema.BLOCKS['pool'].keys['shards'].type.show(shards)}"
+    )
+
+
+def rerouted(old: Config, new: Config, most: int = 5) -> list[Rerouted]:
+    """Example requests that go elsewhere, each way of going elsewhere once."""
+    patterns = [route.pattern for route in (*old.routes, *new.routes)]
+    changed = {route.pattern for route in old.routes} ^ {route.pattern for route in new.routes}
+    patterns.sort(key=lambda pattern: (pattern not in changed, pattern.name))
+    volumes = sorted({rule.pattern for rule in (*old.volumes, *new.volumes)})
+    found: dict[tuple[str, str], Rerouted] = {}
+    for asked in _examples(patterns, volumes):
+        a, b = outcome(old, asked), outcome(new, asked)
+        if a != b and (a, b) not in found:
+            found[a, b] = Rerouted(asked, a, b)
+            if len(found) >= most:
+                break
+    return list(found.values())
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -1,11 +1,13 @@
-"""The typed settings that all else reads. Times are milliseconds, sizes bytes, rates units a second."""
+"""The typed settings that all else reads: immutable, hashable, comparable. Times are milliseconds, sizes bytes, rates
+units a second. Where each value came from is kept beside them (``loading.Loaded``), so that equal settings are equal."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from fnmatch import fnmatchcase
+from dataclasses import dataclass
+from functools import cached_property
 
 from winchdyke import interface as api
+from winchdyke.config.matching import Matcher, Route
 
 OPERATIONS = (
     "get", "head", "put", "post", "delete", "list", "start-upload", "put-part", "list-parts", "complete-upload",
@@ -13,7 +15,7 @@
 )  # fmt: skip
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Listen:
     """An address to listen at; port 0 lets the system choose."""
 
@@ -23,18 +25,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Gateway:
-    """This gateway: its name, its number among all, and where it listens."""
+    """This gateway: its name, its number among all, where it stands."""
 
     name: str
     index: int
     gateways: int
-    listen: Listen
     zone: str
     seed: int
-    log: str
     port_file: str
 
 
+@dataclass(frozen=True, slots=True)
+class Log:
+    """What is logged, and how."""
+
+    form: str
+    access: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds on what clients and stores may use of this gateway."""
@@ -66,16 +74,50 @@
     timeout: float
 
 
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The rules in figures, and how worth is counted."""
+
+    mean_units: float
+    largest_units: float
+    fair_worth: float
+    idle_worth: float
+    meter: float
+    max_attempts: int
+    may_cancel: bool
+    max_retry_after: float
+    cold_from: float
+    warm_after: float
+    fall_multiple: float
+    fall_window: float
+    cold_units: float
+    settle: float
+    extra_window: float
+    extra_free: float
+    extra_share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Kind:
-    """A request class with the operations that fall into it by default."""
+    """A request class: the operations that fall into it by themselves, and those it also takes when asked."""
 
     rules: api.RequestClass
     operations: tuple[str, ...]
+    also: tuple[str, ...]
     unit_bytes: int
     usual_units: float
 
 
+@dataclass(frozen=True, slots=True)
+class Store:
+    """What is known of a store beforehand."""
+
+    address: Listen
+    shard: int
+    capacity: float
+    answers_in: float
+
+
 @dataclass(frozen=True, slots=True)
 class VolumeRule:
     """What holds for volumes whose name matches: their plan, their shards, and how many gateways serve them."""
@@ -86,20 +128,25 @@
     gateways: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Config:
     """All settings of one gateway."""
 
     gateway: Gateway
+    listeners: tuple[tuple[str, Listen], ...]
+    log: Log
     limits: Limits
     nodes: Discovery
+    rules: Rules
     kinds: tuple[Kind, ...]
     plans: tuple[api.Plan, ...]
+    stores: tuple[Store, ...]
     volumes: tuple[VolumeRule, ...]
-    rules: dict[str, float | bool | int] = field(default_factory=dict)
+    routes: tuple[Route, ...]
 
     def settings(self) -> api.Settings:
         """What the scheduler is told at its start."""
+        rules = self.rules
         return api.Settings(
             gateways=self.gateway.gateways,
             index=self.gateway.index,
@@ -107,19 +154,59 @@
             plans=self.plans,
             zone=self.gateway.zone,
             tick_ms=self.limits.tick,
+            mean_units=rules.mean_units,
+            largest_units=rules.largest_units,
+            fair_worth=rules.fair_worth,
+            idle_worth=rules.idle_worth,
+            meter_ms=rules.meter,
             must_ask=self.nodes.must_ask,
+            max_attempts=rules.max_attempts,
+            may_cancel=rules.may_cancel,
+            max_retry_after_ms=rules.max_retry_after,
             connect_timeout_ms=self.limits.connect_timeout,
-            **self.rules,  # type: ignore[arg-type]
+            cold_from=rules.cold_from,
+            warm_after_ms=rules.warm_after,
+            fall_multiple=rules.fall_multiple,
+            fall_window_ms=rules.fall_window,
+            cold_units=rules.cold_units,
+            settle_ms=rules.settle,
+            extra_window_ms=rules.extra_window,
+            extra_free=rules.extra_free,
+            extra_share=rules.extra_share,
         )
 
+    @cached_property
+    def matcher(self) -> Matcher[Route]:
+        """The routes, compiled."""
+        return Matcher([(route.pattern, route) for route in self.routes])
+
+    @cached_property
+    def _volumes(self) -> tuple[dict[str, VolumeRule], list[tuple[int, dict[str, VolumeRule]]]]:
+        exact = {rule.pattern: rule for rule in self.volumes if not rule.pattern.endswith("*")}
+        lengths: dict[int, dict[str, VolumeRule]] = {}
+        for rule in self.volumes:
+            if rule.pattern.endswith("*"):
+                lengths.setdefault(len(rule.pattern) - 1, {})[rule.pattern[:-1]] = rule
+        return exact, sorted(lengths.items(), reverse=True)
+
     def volume(self, name: str) -> VolumeRule | None:
-        """The first rule that matches a volume's name, exact names before patterns; None where none does."""
-        exact = [rule for rule in self.volumes if rule.pattern == name]
-        return next(iter(exact or [rule for rule in self.volumes if fnmatchcase(name, rule.pattern)]), None)
+        """The rule of a volume: its own, else the one whose pattern says most of its name; None where none fits."""
+        exact, prefixes = self._volumes
+        if name in exact:
+            return exact[name]
+        return next((rules[name[:length]] for length, rules in prefixes if name[:length] in rules), None)
+
+    @cached_property
+    def _kinds(self) -> dict[str, Kind]:
+        return {kind.rules.name: kind for kind in self.kinds}
+
+    @cached_property
+    def _defaults(self) -> dict[str, Kind]:
+        return {operation: kind for kind in self.kinds for operation in kind.operations}
 
     def kind_for(self, operation: str, asked: str | None) -> Kind | None:
-        """The class of an operation: the one asked for where it takes that operation, else the first that does."""
-        fits = [kind for kind in self.kinds if operation in kind.operations]
-        if asked is not None:
-            fits = [kind for kind in fits if kind.rules.name == asked]
-        return fits[0] if fits else None
+        """The class of an operation: the one asked for where it takes that operation, else the one it falls into."""
+        if asked is None:
+            return self._defaults.get(operation)
+        kind = self._kinds.get(asked)
+        return kind if kind and (operation in kind.operations or operation in kind.also) else None
--- /dev/null
+++ b/winchdyke/config/schema.py
@@ -0,0 +1,219 @@
+"""The blocks of the settings and their keys: one table from which are made the checker, the formatter of converted
+settings, the diff, and the reference page."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from winchdyke.config import types as t
+
+MS, S = 1.0, 1000.0
+
+
+@dataclass(frozen=True)
+class Key:
+    """A key: its type, its default as it would be written (None: it must be given), and what it means."""
+
+    type: t.Type
+    default: str | None
+    doc: str
+    refers: str = ""  # the kind of block whose name it is
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of block. ``name`` is the type of its name; None: it has none, and there is one at the most."""
+
+    doc: str
+    keys: dict[str, Key]
+    name: t.Type | None = None
+    needed: bool = False
+
+
+def _time(default: str | None, doc: str, low: float, high: float, zero: bool = True) -> Key:
+    return Key(t.Duration(likely=(low, high), zero=zero), default, doc)
+
+
+NONE = ""  # a default that stands for "not given"
+
+BLOCKS: dict[str, Kind] = {
+    "gateway": Kind(
+        "This gateway among all that serve the same volumes.",
+        {
+            "name": Key(t.Type(), "gateway", "Its name: in logs, and told to stores and the list service."),
+            "index": Key(t.Count(), "0", "Its number, from 0; under `gateways`."),
+            "gateways": Key(t.Count(low=1), "1", "How many gateways there are in all."),
+            "zone": Key(t.Type(), '""', "The zone it stands in."),
+            "seed": Key(t.Count(), "1", "What its random choices are drawn from."),
+            "port_file": Key(t.Type(), '""', "A file that its address is written to once it listens."),
+        },
+    ),
+    "listener": Kind(
+        "An address that clients connect to; several may be given.",
+        {"address": Key(t.Address(), None, "Where to listen; port 0 lets the system choose.")},
+        t.Type("name"),
+        needed=True,
+    ),
+    "log": Kind(
+        "What is written to standard error.",
+        {
+            "form": Key(
+                t.OneOf(allowed=("json", "console", "none")), "json", "JSON lines, lines for people, or none."
+            ),
+            "access": Key(t.Flag(), "yes", "Whether each request has a line."),
+        },
+    ),
+    "nodes": Kind(
+        "The list service.",
+        {
+            "list": Key(t.Url(), None, "Its address."),
+            "discovery": Key(t.OneOf(allowed=("pushed", "asked")), "pushed", "Whether changes come unasked."),
+            "wait": _time("10s", "How long a call for news may wait at the service.", 100 * MS, 120 * S),
+            "timeout": _time("2s", "How long a call may take beyond that.", 50 * MS, 30 * S, zero=False),
+        },
+        needed=True,
+    ),
+    "limits": Kind(
+        "Bounds on what clients and stores may use of this gateway.",
+        {
+            "header_bytes": Key(t.Size(likely=(1024, 1 << 20)), "16KiB", "The largest head of a request."),
+            "header_timeout": _time(
+                "10s", "Time for a head to come whole, from its first byte.", 100 * MS, 120 * S
+            ),
+            "idle_timeout": _time("75s", "Time that a connection may rest between requests.", S, 3600 * S),
+            "stream_idle": _time("30s", "Time that a body may stand still on its way.", 100 * MS, 600 * S),
+            "answer_margin": _time(
+                "25ms", "Kept of a client's time for the answer's way back.", 0.0, 500 * MS
+            ),
+            "connections": Key(t.Count(low=1), "1000", "Most connections of clients."),
+            "body_memory": Key(
+                t.Size(), "256KiB", "How much of a body is kept in memory; the rest goes to a file."
+            ),
+            "body_total": Key(t.Size(), "1GiB", "Most of all kept bodies together."),
+            "object_bytes": Key(t.Size(), "5GiB", "The largest object."),
+            "connect_timeout": _time("250ms", "Time for a connection to a store.", MS, 5 * S, zero=False),
+            "pool_idle": _time(
+                "30s", "Time that a connection to a store is kept unused.", 100 * MS, 3600 * S
+            ),
+            "pool_per_node": Key(t.Count(low=1), "32", "Most unused connections kept to a store."),
+            "tick": _time(
+                "1ms", "The least time between two decisions, as the module counts it.", 0.1, 100 * MS
+            ),
+        },
+    ),
+    "rules": Kind(
+        "The rules in figures, and how worth is counted.",
+        {
+            "mean_units": Key(t.Number(low=1e-9), "1", "Mean units of a request."),
+            "largest_units": Key(t.Number(low=1e-9), "8", "Most units that a request counts."),
+            "fair_worth": Key(t.Share(), "30%", "Worth of units beyond the reserve, inside the share."),
+            "idle_worth": Key(t.Share(), "8%", "Worth of units beyond both."),
+            "meter": _time(
+                "0", "Period over which stores tell a volume's use; 0: they do not.", 10 * MS, 60 * S
+            ),
+            "max_attempts": Key(t.Count(low=1, high=100), "3", "Most attempts for a request."),
+            "may_cancel": Key(t.Flag(), "no", "Whether attempts may be called off."),
+            "max_retry_after": _time(
+                "1s", "The longest time that clients are told to stay away.", MS, 600 * S
+            ),
+            "cold_from": Key(t.Share(), "100%", "Part of its power that a store starts with at least."),
+            "warm_after": _time("0", "Time after which a started store is warm.", 100 * MS, 3600 * S),
+            "fall_multiple": Key(
+                t.Number(), "0", "Multiple of its present power at which a cold store falls over."
+            ),
+            "fall_window": _time("0", "Time that this must last.", 10 * MS, 60 * S),
+            "cold_units": Key(t.Number(), "0", "Units in that time that a cold store always bears."),
+            "settle": _time("0", "Rest of an order key after an attempt that may still run.", MS, 60 * S),
+            "extra_window": _time("0", "Window of the attempt budget; 0: there is none.", 100 * MS, 600 * S),
+            "extra_free": Key(t.Number(), "0", "Further attempts in it that are free."),
+            "extra_share": Key(t.Share(), "0%", "Further attempts in it as a part of the requests taken."),
+        },
+    ),
+    "class": Kind(
+        "A class of requests: what it is worth, until when, and whether it may run again.",
+        {
+            "operations": Key(
+                t.Many("operations", of=t.OPERATION), NONE, "Operations that fall into it by themselves."
+            ),
+            "also": Key(
+                t.Many("operations", of=t.OPERATION),
+                NONE,
+                "Operations it takes where a client or a route asks.",
+            ),
+            "worth": Key(t.Number(), "1", "Worth of a request served within the aim."),
+            "aim": _time(None, "Wanted time of an answer.", MS, 60 * S, zero=False),
+            "deadline": _time(None, "Time after which clients give up.", 10 * MS, 600 * S, zero=False),
+            "late_share": Key(t.Share(), "0%", "Worth of an answer after the aim."),
+            "effect": Key(
+                t.OneOf(allowed=("idempotent", "keyed", "at-most-once")),
+                None,
+                "What a second run does: nothing, nothing where the store knows the key, or harm.",
+            ),
+            "scope": Key(
+                t.OneOf(allowed=("all", "zone", "cell")), "cell", "Stores that drop each other's repeats."
+            ),
+            "memory": _time("0", "Time for which they do.", 100 * MS, 24 * 3600 * S),
+            "streamed": Key(t.Flag(), "no", "Whether answers are long streams."),
+            "in_order": Key(t.Flag(), "no", "Whether requests of one key run one at a time, as they came."),
+            "writes": Key(t.Flag(), "no", "Whether it changes data."),
+            "unit_bytes": Key(t.Size(), "64KiB", "Bytes that count as a unit."),
+            "usual_units": Key(t.Number(), "1", "Units where a size is not known before."),
+        },
+        t.Type("name"),
+        needed=True,
+    ),
+    "plan": Kind(
+        "What a volume is promised, over all gateways and stores.",
+        {
+            "worth_factor": Key(t.Number(), "1", "Factor on the worth of its requests."),
+            "weight": Key(t.Number(), "1", "Its weight in sharing what is left beyond reserves."),
+            "usual_rate": Key(t.Rate(), "0", "The use it is sized for."),
+            "reserve": Key(t.Rate(), "0", "Use that earns its full worth."),
+            "limit": Key(t.Rate(), "0", "Use it never passes; 0: no limit."),
+            "limit_burst": Key(t.Number(), "0", "Units that the limit lets through at once."),
+        },
+        t.Type("name"),
+        needed=True,
+    ),
+    "pool": Kind(
+        "Shards by a name.",
+        {"shards": Key(t.Shards(), None, "The shards, as in 0-3, 7.")},
+        t.Type("name"),
+    ),
+    "store": Kind(
+        "What is known of a store beforehand; the list service says which are there.",
+        {
+            "shard": Key(t.Count(high=100_000), None, "The shard it holds."),
+            "capacity": Key(t.Rate(), "0", "What it can do when warm; 0: not known."),
+            "answers_in": _time("0", "Its usual answer; 0: not known.", 0.05, 10 * S),
+        },
+        t.Address(),
+    ),
+    "volume": Kind(
+        "What holds for the volumes of a name, or of names that begin alike (`school-*`). The longest match counts.",
+        {
+            "plan": Key(t.Type("name"), None, "Its plan.", "plan"),
+            "pool": Key(t.Type("name"), NONE, "The pool its objects lie in.", "pool"),
+            "shards": Key(t.Shards(), NONE, "The shards its objects lie on, in place of a pool."),
+            "gateways": Key(t.Count(low=1), "1", "Through how many gateways its requests come."),
+        },
+        t.Pattern(),
+        needed=True,
+    ),
+    "route": Kind(
+        "Requests that get a class or a pool of their own. Of the routes that match, the one of the highest priority"
+        " counts; of those the one that says more of volume, key, header, size and method, in this order; then the name.",
+        {
+            "priority": Key(t.Count(low=-1000, high=1000), "0", "Higher comes first."),
+            "volume": Key(t.Pattern(), "*", "The volume, or how its name begins."),
+            "key": Key(t.Type("text"), '""', "How the object's key begins."),
+            "method": Key(t.Many("methods", of=t.METHOD), NONE, "The methods; none given: any."),
+            "header": Key(t.Header(), NONE, "A header and its value."),
+            "size": Key(t.Sizes(), NONE, "The stated length of the body."),
+            "class": Key(t.Type("name"), NONE, "The class they fall into.", "class"),
+            "pool": Key(t.Type("name"), NONE, "The pool their objects lie in.", "pool"),
+        },
+        t.Type("name"),
+    ),
+}
+WORDS = ("include", "let", "template", "defaults", "from")  # of the language: no block has such a name
--- /dev/null
+++ b/winchdyke/config/sources.py
@@ -0,0 +1,190 @@
+"""Reading settings files and what they include, within bounds."""
+
+from __future__ import annotations
+
+import glob
+import os
+from pathlib import Path
+
+from winchdyke.config.diagnostics import Diagnostic, Source, Span
+from winchdyke.config.syntax import Block, Directive, Statement, parse
+
+MOST_BYTES, MOST_FILES, MOST_TOTAL = 8 << 20, 500, 32 << 20
+TRIES = 3
+
+
+class Unreadable(Exception):
+    """A file that can't be used: the code, what is wrong, what to do, and the line where it shows."""
+
+    def __init__(self, code: str, text: str, fix: str, line: int = 1, column: int = 1) -> None:
+        super().__init__(text)
+        self.code, self.fix, self.line, self.column = code, fix, line, column
+
+
+def read(path: Path) -> str:
+    """A file's text with plain line ends and no byte-order mark. Unreadable says what is wrong."""
+    try:
+        for _ in range(TRIES):
+            with path.open("rb") as file:
+                before = os.fstat(file.fileno())
+                if before.st_size > MOST_BYTES:
+                    text = f"is {before.st_size >> 20} MiB; {MOST_BYTES >> 20} MiB is the most"
+                    raise Unreadable("too-large", text, "split it, and include the parts")
+                data = file.read(MOST_BYTES + 1)
+                after = os.fstat(file.fileno())
+            if (before.st_mtime_ns, before.st_size) == (after.st_mtime_ns, after.st_size) and len(
+                data
+            ) == after.st_size:
+                return decoded(data)
+    except OSError as error:
+        raise Unreadable(
+            "unreadable", f"can't be read: {error.strerror}", "check the path and who may read it"
+        ) from error
+    raise Unreadable(
+        "changing", "changes while it is being read", "write it beside and rename it; then try again"
+    )
+
+
+def decoded(data: bytes) -> str:
+    """Bytes as text. Unreadable where they are not UTF-8, or hold signs that no settings have."""
+    if data.startswith((b"\xff\xfe", b"\xfe\xff")):
+        raise Unreadable("not-utf8", "is UTF-16, not UTF-8", "save it as UTF-8")
+    try:
+        text = data.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        column = error.start - data.rfind(b"\n", 0, error.start)
+        raise Unreadable(
+            "not-utf8", f"byte 0x{data[error.start]:02x} is not UTF-8", "save it as UTF-8", line, column
+        ) from error
+    text = text.replace("\r\n", "\n").replace("\r", "\n")
+    for number, line_text in enumerate(text.split("\n"), 1):
+        if bad := next(
+            (at for at, sign in enumerate(line_text) if (sign < " " and sign != "\t") or sign == "\x7f"), None
+        ):
+            shown = f"U+{ord(line_text[bad]):04X}"
+            raise Unreadable("control", f"a control character ({shown})", "take it away", number, bad + 1)
+        if line_text and (line_text[0] < " " and line_text[0] != "\t"):
+            raise Unreadable(
+                "control", f"a control character (U+{ord(line_text[0]):04X})", "take it away", number, 1
+            )
+    return text
+
+
+class Files:
+    """A settings file and all that it includes, as one run of statements."""
+
+    def __init__(self) -> None:
+        self.problems: list[Diagnostic] = []
+        self.statements: list[Statement] = []
+        self.sources: list[Source] = []
+        self._seen: dict[Path, Source] = {}
+        self._total = 0
+        self._root = Path()
+
+    def load(self, path: Path) -> None:
+        """Read a file and what it includes."""
+        self._root = path.parent.resolve()
+        self._file(path, (), None)
+
+    def text(self, text: str, file: str) -> None:
+        """Take a text that is no file; it can't include any."""
+        self._statements(Source(file, text), (), False)
+
+    def _add(self, code: str, text: str, fix: str, span: Span, *related: tuple[str, Span]) -> None:
+        self.problems.append(
+            Diagnostic(
+                code, "include" if related or span.source.text else "", text, fix, span, related=related
+            )
+        )
+
+    def _file(self, path: Path, stack: tuple[Path, ...], at: Span | None) -> None:
+        real = path.resolve()
+        chain = () if at is None else (*at.source.chain, (at.source.file, at.line))
+        source = Source(str(path), "", chain)
+        if real in stack:
+            assert at is not None
+            names = [_short(each, self._root) for each in (*stack[stack.index(real) :], real)]
+            self._add(
+                "include-loop",
+                f"includes go round: {' -> '.join(names)}",
+                "take one of these includes away",
+                at,
+            )
+            return
+        if real in self._seen:
+            return  # a diamond: what both include is there once
+        if at is not None and not real.is_relative_to(self._root):
+            text = f"{path.name} lies outside of {self._root}"
+            self._add(
+                "outside", text, "include only from the folder of the first file; links may not lead out", at
+            )
+            return
+        if len(self._seen) >= MOST_FILES:
+            assert at is not None
+            self._add("too-many", f"more than {MOST_FILES} files are included", "join some of them", at)
+            return
+        try:
+            text = read(path)
+            self._total += len(text)
+            if self._total > MOST_TOTAL:
+                raise Unreadable("too-large", f"all files are over {MOST_TOTAL >> 20} MiB", "leave some out")
+        except Unreadable as error:
+            place = at or Span(source, error.line, error.column, error.column + 1)
+            if error.code in ("not-utf8", "control"):
+                place = Span(source, error.line, error.column, error.column + 1)
+            self.problems.append(Diagnostic(error.code, str(path), str(error), error.fix, place))
+            self._seen[real] = source
+            return
+        source = Source(str(path), text, chain)
+        self._seen[real] = source
+        self._statements(source, (*stack, real), True)
+
+    def _statements(self, source: Source, stack: tuple[Path, ...], files: bool) -> None:
+        self.sources.append(source)
+        statements, problems = parse(source)
+        self.problems += problems
+        for statement in statements:
+            if isinstance(statement, Directive) and statement.words[0].text == "include":
+                self._include(statement, stack, files)
+            else:
+                if isinstance(statement, Block):
+                    self._inner(statement)
+                self.statements.append(statement)
+
+    def _inner(self, block: Block) -> None:
+        for inner in block.body:
+            if isinstance(inner, Directive) and inner.words[0].text == "include":
+                self._add(
+                    "include-inside", "include stands in a block", "move it out of every block", inner.span
+                )
+
+    def _include(self, statement: Directive, stack: tuple[Path, ...], files: bool) -> None:
+        span = statement.span
+        if len(statement.words) != 2:
+            self._add("bad-include", "include takes one path", 'write include "conf.d/*.conf"', span)
+            return
+        asked = statement.words[1]
+        if not files:
+            self._add(
+                "bad-include", "a text that is no file includes nothing", "write it to a file", asked.span
+            )
+            return
+        here = Path(span.source.file).parent
+        if any(sign in asked.text for sign in "*?["):
+            found = sorted(glob.glob(str(here / asked.text)))
+            if not found:
+                self._add(
+                    "no-match",
+                    f"{asked.text!r} matches no file",
+                    "correct the pattern, or take it away",
+                    asked.span,
+                )
+            for each in found:
+                self._file(Path(each), stack, asked.span)
+            return
+        self._file(here / asked.text, stack, asked.span)
+
+
+def _short(path: Path, root: Path) -> str:
+    return str(path.relative_to(root)) if path.is_relative_to(root) else str(path)
--- /dev/null
+++ b/winchdyke/config/syntax.py
@@ -0,0 +1,314 @@
+"""From text to statements, by the grammar in ``grammar.lark``; every syntax error of a text is told, not the first.
+
+A good text is parsed in one go. In a broken one each line is parsed by itself, and braces are matched over lines, so
+that a mistake in one place does not hide the others.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import cache
+from importlib import resources
+
+from lark import Lark, Token, Tree
+from lark.exceptions import UnexpectedCharacters, UnexpectedInput
+
+from winchdyke.config.diagnostics import Diagnostic, Source, Span
+
+DEEPEST = 8
+MOST_PROBLEMS = 200
+ESCAPES = {'"': '"', "\\": "\\", "n": "\n", "t": "\t"}
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """A word; ``quoted`` where it stood in double quotes."""
+
+    text: str
+    quoted: bool
+    span: Span
+
+
+Item = tuple[Word, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """``words = items``."""
+
+    words: tuple[Word, ...]
+    items: tuple[Item, ...]
+
+    @property
+    def span(self) -> Span:
+        """Where its key stands."""
+        return self.words[0].span
+
+
+@dataclass(frozen=True, slots=True)
+class Block:
+    """``words { body }``."""
+
+    words: tuple[Word, ...]
+    body: tuple[Statement, ...]
+
+    @property
+    def span(self) -> Span:
+        """Where its kind stands."""
+        return self.words[0].span
+
+
+@dataclass(frozen=True, slots=True)
+class Directive:
+    """Words alone on a line."""
+
+    words: tuple[Word, ...]
+
+    @property
+    def span(self) -> Span:
+        """Where it begins."""
+        return self.words[0].span
+
+
+Statement = Setting | Block | Directive
+
+
+@cache
+def _parser() -> Lark:
+    grammar = resources.files("winchdyke.config").joinpath("grammar.lark").read_text(encoding="utf-8")
+    return Lark(
+        grammar, parser="lalr", start=["file", "line"], propagate_positions=False, maybe_placeholders=False
+    )
+
+
+class _Reader:
+    """One text being turned into statements."""
+
+    def __init__(self, source: Source) -> None:
+        self.source = source
+        self.problems: list[Diagnostic] = []
+        self._shift = 0  # lines before the one that is parsed alone
+        self._last = Span(source, 1)  # the last line that said something
+        self._bare: tuple[str, Span] | None = (
+            None  # a line that looks like a block's beginning without its brace
+        )
+
+    def span(self, token: Token) -> Span:
+        line = (token.line or 1) + self._shift
+        column = token.column or 1
+        return Span(self.source, line, column, column + len(token))
+
+    def add(self, code: str, text: str, fix: str, span: Span, *related: tuple[str, Span]) -> None:
+        if len(self.problems) < MOST_PROBLEMS:
+            self.problems.append(Diagnostic(code, "", text, fix, span, related=related))
+
+    def word(self, token: Token) -> Word:
+        span = self.span(token)
+        if token.type != "STRING":
+            return Word(str(token), False, span)
+        inner = str(token)[1:-1]
+        for bad in re.finditer(r"\\(.)", inner):
+            if bad[1] not in ESCAPES:
+                fix = 'write \\\\ for a backslash; the escapes are \\" \\\\ \\n \\t'
+                self.add("bad-escape", f"\\{bad[1]} is no escape", fix, span)
+        return Word(re.sub(r"\\(.)", lambda found: ESCAPES.get(found[1], found[1]), inner), True, span)
+
+    def words(self, tree: Tree[Token]) -> tuple[Word, ...]:
+        return tuple(self.word(token) for token in tree.children if isinstance(token, Token))
+
+    def setting(self, tree: Tree[Token]) -> Setting:
+        words, items = tree.children
+        assert isinstance(words, Tree) and isinstance(items, Tree)
+        return Setting(
+            self.words(words), tuple(self.words(item) for item in items.children if isinstance(item, Tree))
+        )
+
+    def body(self, tree: Tree[Token], depth: int = 0) -> tuple[Statement, ...]:
+        found: list[Statement] = []
+        for child in tree.children:
+            assert isinstance(child, Tree)
+            if child.data == "setting":
+                found.append(self.setting(child))
+            elif child.data == "directive":
+                found.append(Directive(self.words(child.children[0])))  # type: ignore[arg-type]
+            else:
+                words, inner = child.children
+                assert isinstance(words, Tree) and isinstance(inner, Tree)
+                named = self.words(words)
+                if depth >= DEEPEST:
+                    fix = f"blocks go {DEEPEST} deep at the most; is a closing brace missing?"
+                    self.add("too-deep", "blocks stand in blocks too deep", fix, named[0].span)
+                    continue
+                found.append(Block(named, self.body(inner, depth + 1)))
+        return tuple(found)
+
+    # A broken text, line by line.
+
+    def lines(self) -> None:
+        """Find every mistake of a text that does not parse as a whole."""
+        open_blocks: list[Span] = []
+        text = self.source.text
+        for number, line in enumerate(text.split("\n"), 1):
+            self._shift = number - 1
+            for start, piece in _pieces(line):
+                if piece.strip() and len(self.problems) < MOST_PROBLEMS:
+                    self._line(" " * start + piece, number, open_blocks)
+                    begin = start + len(piece) - len(piece.lstrip()) + 1
+                    self._last = Span(self.source, number, begin, start + len(piece.rstrip()) + 1)
+        self._shift = 0
+        for span in open_blocks[-3:]:
+            self._unclosed(span, "the text ends before this block is closed")
+
+    def _unclosed(self, span: Span, text: str) -> None:
+        fix = f"put a }} after this line; the block begins at {span}"
+        self.add("missing-brace", text, fix, self._last, ("it begins here", span))
+
+    def _line(self, line: str, number: int, open_blocks: list[Span]) -> None:
+        try:
+            tree = _parser().parse(line, start="line")
+        except UnexpectedInput as error:
+            self._explain(error, line, number, open_blocks)
+            return
+        child = tree.children[0]
+        assert isinstance(child, Tree)
+        begin = len(line) - len(line.lstrip()) + 1
+        if child.data == "opening":
+            words = child.children[0]
+            assert isinstance(words, Tree)
+            first = words.children[0]
+            assert isinstance(first, Token)
+            outer = bool(open_blocks) and open_blocks[-1].column >= (first.column or 1)
+            if outer and self._looks_outer(str(first)):
+                # A block of the outermost kind inside another: the brace is missing before it.
+                self._unclosed(open_blocks.pop(), "a new block begins before this one is closed")
+            self._bare = None
+            open_blocks.append(self.span(first))
+        elif child.data in ("closing", "ending"):
+            self._closing(line, number, begin, open_blocks)
+        elif child.data == "directive" and not open_blocks and self._looks_outer(line.split()[0]):
+            span = Span(self.source, number, begin, len(line.rstrip()) + 1)
+            self._bare = " ".join(line.split()), span
+
+    def _closing(self, line: str, number: int, begin: int, open_blocks: list[Span]) -> None:
+        here = Span(self.source, number, begin, begin + len(line.strip()))
+        if open_blocks:
+            open_blocks.pop()
+        elif self._bare is not None:
+            words, span = self._bare
+            text = f"this block is closed below and has no {{: {words!r}"
+            self.add("no-brace", text, f"write {words} {{", span, ("its }", here))
+        else:
+            fix = "take it away, or look for an opening { that is missing above"
+            self.add("extra-brace", "this } closes nothing", fix, here)
+        self._bare = None
+
+    @staticmethod
+    def _looks_outer(kind: str) -> bool:
+        from winchdyke.config.schema import BLOCKS
+
+        return kind in BLOCKS or kind in ("template", "defaults")
+
+    def _explain(self, error: UnexpectedInput, line: str, number: int, open_blocks: list[Span]) -> None:
+        column = max(1, getattr(error, "column", 1) or 1)
+        bare = re.sub(r'"(?:\\.|[^"\\])*"', lambda found: "x" * len(found[0]), line.split("#")[0])
+        if "{" in bare and "}" not in bare:
+            open_blocks.append(Span(self.source, number, len(line) - len(line.lstrip()) + 1, len(line) + 1))
+        if bare.count('"') % 2:
+            at = line.rindex('"') + 1
+            span = Span(self.source, number, at, len(line) + 1)
+            self.add("open-string", "this string is never closed", 'end it with " on the same line', span)
+            return
+        span = Span(self.source, number, column, column + 1)
+        if isinstance(error, UnexpectedCharacters):
+            self.add(
+                "bad-sign",
+                f"{line[column - 1 : column]!r} has no place here",
+                "take it away, or quote it",
+                span,
+            )
+            return
+        token = getattr(error, "token", None)
+        kind = getattr(token, "type", "")
+        if kind == "$END":
+            span = Span(self.source, number, max(1, len(line.rstrip())), len(line.rstrip()) + 1)
+            ends = bare.rstrip()[-1:]
+            if ends == "=":
+                self.add("no-value", "there is no value after =", "write the value, as in key = 400ms", span)
+            else:
+                self.add(
+                    "unfinished",
+                    f"the line ends after {ends!r}",
+                    "write what comes next, or take it away",
+                    span,
+                )
+        elif kind == "EQUAL":
+            text = "a second = on one line" if bare.count("=") > 1 else "there is no key before ="
+            self.add("extra-equals", text, "one setting a line; quote a value that holds =", span)
+        elif kind == "LBRACE":
+            text = "a { has no place in a setting"
+            self.add(
+                "stray-brace", text, "a block is words and {, as in class fetch {, with no = before it", span
+            )
+        elif kind == "COMMA":
+            self.add(
+                "stray-comma", "a comma with no value before it", "set values apart by single commas", span
+            )
+        else:
+            self.add(
+                "syntax", "this is no setting, block or directive", "write key = value, or kind name {", span
+            )
+
+
+def _pieces(line: str) -> Iterator[tuple[int, str]]:
+    """The parts of a line between semicolons, with where each begins."""
+    start, quoted, at = 0, False, 0
+    while at < len(line):
+        sign = line[at]
+        if sign == "\\" and quoted:
+            at += 1
+        elif sign == '"':
+            quoted = not quoted
+        elif sign == "#" and not quoted:
+            break
+        elif sign == ";" and not quoted:
+            yield start, line[start:at]
+            start = at + 1
+        at += 1
+    yield start, line[start:at] if not quoted else line[start:]
+
+
+def parse(source: Source) -> tuple[tuple[Statement, ...], list[Diagnostic]]:
+    """A text's statements and every syntax error in it; with an error the statements are what could be kept."""
+    reader = _Reader(source)
+    depth = _deepest(source.text)
+    if depth > 10 * DEEPEST:
+        reader.add("too-deep", f"blocks stand {depth} deep", f"{DEEPEST} is the most", Span(source, 1))
+        return (), reader.problems
+    try:
+        tree = _parser().parse(source.text, start="file")
+    except UnexpectedInput:
+        reader.lines()
+        if (
+            not reader.problems
+        ):  # each line is good by itself: a block over several lines that the pieces hide
+            reader.add(
+                "syntax", "braces and lines do not fit together", "one statement a line", Span(source, 1)
+            )
+        return (), reader.problems
+    inner = tree.children[0]
+    assert isinstance(inner, Tree)
+    return reader.body(inner), reader.problems
+
+
+def _deepest(text: str) -> int:
+    """How deep braces stand in each other, outside of strings and comments."""
+    depth = most = 0
+    for found in re.finditer(r'"(?:\\.|[^"\\\n])*"|#[^\n]*|[{}]', text):
+        if found[0] == "{":
+            depth += 1
+            most = max(most, depth)
+        elif found[0] == "}":
+            depth -= 1
+    return most
--- /dev/null
+++ b/winchdyke/config/types.py
@@ -0,0 +1,527 @@
+"""The types of values: how each is read, checked for what is legal and for what is likely, and shown.
+
+A type's ``read`` takes the items of a setting and raises :class:`Wrong`; ``doubt`` says why a legal value is most likely
+not what was meant. With ``bare`` (INI) rates and shares are plain numbers; the language wants their units.
+"""
+
+from __future__ import annotations
+
+import difflib
+import math
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from winchdyke.config.model import OPERATIONS, Listen
+from winchdyke.config.syntax import Item, Word
+
+DURATIONS = {"us": 0.001, "ms": 1.0, "s": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
+SIZES = {"B": 1, "KiB": 1024, "MiB": 1024**2, "GiB": 1024**3, "kB": 1000, "MB": 1000**2, "GB": 1000**3}
+TIMES = "ms, s, m, h"
+_NUMBER = re.compile(r"([+-]?\d+(?:\.\d+)?)([A-Za-z%/]*)")
+
+
+class Wrong(Exception):
+    """A value that can't be used: what is wrong, what to do, and the word it is about."""
+
+    def __init__(self, text: str, fix: str, word: Word | None = None, code: str = "bad-value") -> None:
+        super().__init__(text)
+        self.fix, self.word, self.code = fix, word, code
+
+
+def nearest(name: str, known: Iterable[str]) -> str:
+    """``did you mean ...?`` where one is near, else what is known."""
+    names = sorted(set(known))
+    near = difflib.get_close_matches(name, names, 1, 0.6)
+    if not near:
+        near = [each for each in names if each.lower() == name.lower()][:1]
+    if near:
+        return f"did you mean {near[0]!r}?"
+    return f"known here: {', '.join(names[:20])}" if names else "none is set up"
+
+
+def _parted(text: str, word: Word, example: str) -> tuple[float, str]:
+    found = _NUMBER.fullmatch(text.replace(" ", ""))
+    if not found:
+        if re.search(r"\d,\d", text):
+            raise Wrong(
+                f"{text!r} has a comma", f"write a dot, as in {text.replace(',', '.')}", word, "bad-number"
+            )
+        raise Wrong(f"{text!r} is not a number with a unit", f"write it like {example}", word, "bad-number")
+    number = float(found[1])
+    if not math.isfinite(number):
+        raise Wrong(f"{text!r} is too large", f"write it like {example}", word, "bad-number")
+    return number, found[2]
+
+
+@dataclass(frozen=True)
+class Type:
+    """A type of one value; ``words`` is what a reference page calls it."""
+
+    words: str = "text"
+    several: bool = False
+
+    def read(self, items: tuple[Item, ...], bare: bool = False) -> Any:
+        """The value of a setting's items."""
+        if len(items) != 1:
+            texts = [" ".join(word.text for word in item) for item in items]
+            fix = "keep one"
+            if len(items) == 2 and re.fullmatch(r"\d+", texts[0]) and re.match(r"\d", texts[1]):
+                fix = f"if it is one number, write a dot: {texts[0]}.{texts[1]}"
+            raise Wrong(
+                f"takes one value, not {len(items)} ({', '.join(texts)})", fix, items[1][0], "too-many-values"
+            )
+        return self.one(items[0], bare)
+
+    def one(self, item: Item, bare: bool) -> Any:
+        """The value of one item."""
+        if len(item) != 1:
+            text = " ".join(word.text for word in item)
+            raise Wrong(
+                f"takes one word, not {text!r}",
+                "quote it, or set values apart by commas",
+                item[1],
+                "too-many-words",
+            )
+        return self.text(item[0])
+
+    def text(self, word: Word) -> Any:
+        """The value of one word."""
+        return word.text
+
+    def doubt(self, value: Any) -> str:
+        """Why a legal value is most likely wrong; empty where it is not."""
+        return ""
+
+    def show(self, value: Any) -> str:
+        """The value as the language writes it."""
+        return quoted(str(value))
+
+
+def quoted(text: str) -> str:
+    """A word, in quotes where it needs them."""
+    if text and not re.search(r'[\s{}=,;#"$\\]', text):
+        return text
+    inner = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n").replace("\t", "\\t")
+    return f'"{inner}"'
+
+
+def show_number(value: float) -> str:
+    """A number with no more digits than it needs."""
+    return repr(int(value)) if float(value).is_integer() and abs(value) < 1e15 else repr(float(value))
+
+
+@dataclass(frozen=True)
+class Duration(Type):
+    """A time, in milliseconds. ``likely`` is from where to where it usually lies."""
+
+    words: str = "time"
+    likely: tuple[float, float] = (0.0, math.inf)
+    zero: bool = True
+
+    def text(self, word: Word) -> float:
+        number, unit = _parted(word.text, word, "400ms")
+        if not unit and number:
+            fix = f"write one of {TIMES}, as in {word.text}ms"
+            raise Wrong(f"{word.text!r} has no unit", fix, word, "no-unit")
+        if unit and unit not in DURATIONS:
+            size = unit in SIZES
+            what = f"{unit!r} is a unit of size, not of time" if size else f"{unit!r} is no unit known here"
+            raise Wrong(what, f"use one of {TIMES}, as in 400ms", word, "bad-unit")
+        if number < 0 or (not number and not self.zero):
+            raise Wrong(f"{word.text!r} is not over 0", "write a time over 0", word, "out-of-range")
+        value = number * (DURATIONS[unit] if unit else 1)
+        if value > 1e13:
+            raise Wrong(
+                f"{word.text!r} is longer than 300 years", "write a shorter time", word, "out-of-range"
+            )
+        return value
+
+    def doubt(self, value: float) -> str:
+        low, high = self.likely
+        if value and not low <= value <= high:
+            long = value > high
+            other = value / 1000 if long else value * 1000
+            meant = f"; was {self.show(other)} meant?" if low <= other <= high else ""
+            kind = "long" if long else "short"
+            return f"{self.show(value)} is unusually {kind} here (usually {self.show(low)} to {self.show(high)}){meant}"
+        return ""
+
+    def show(self, value: float) -> str:
+        if not value:
+            return "0"
+        for unit in ("h", "m", "s", "ms", "us"):
+            number = value / DURATIONS[unit]
+            if (
+                number >= 1
+                and round(number, 3) * DURATIONS[unit] == value
+                and len(show_number(round(number, 3))) < 8
+            ):
+                return show_number(round(number, 3)) + unit
+        return show_number(value) + "ms"
+
+
+@dataclass(frozen=True)
+class Size(Type):
+    """A size, in bytes."""
+
+    words: str = "size"
+    likely: tuple[float, float] = (0.0, math.inf)
+
+    def text(self, word: Word) -> int:
+        number, unit = _parted(word.text, word, "64KiB")
+        names = ", ".join(SIZES)
+        if not unit and number:
+            raise Wrong(
+                f"{word.text!r} has no unit", f"write one of {names}, as in {word.text}KiB", word, "no-unit"
+            )
+        if unit and unit not in SIZES:
+            near = {
+                "K": "KiB",
+                "KB": "kB",
+                "k": "kB",
+                "M": "MiB",
+                "G": "GiB",
+                "b": "B",
+                "Mib": "MiB",
+                "mb": "MB",
+            }.get(unit)
+            fix = f"write {number:g}{near}" if near else f"use one of {names}, as in 64KiB"
+            what = (
+                f"{unit!r} is a unit of time, not of size"
+                if unit in DURATIONS
+                else f"{unit!r} is no unit known here"
+            )
+            raise Wrong(what, fix, word, "bad-unit")
+        if number < 0:
+            raise Wrong(f"{word.text!r} is under 0", "write a size of 0 or more", word, "out-of-range")
+        value = number * (SIZES[unit] if unit else 1)
+        if value > 2**60:
+            raise Wrong(
+                f"{word.text!r} is larger than any store", "write a smaller size", word, "out-of-range"
+            )
+        return int(value)
+
+    def doubt(self, value: int) -> str:
+        low, high = self.likely
+        if value and not low <= value <= high:
+            size = "large" if value > high else "small"
+            return f"{self.show(value)} is unusually {size} here (usually {self.show(int(low))} to {self.show(int(high))})"
+        return ""
+
+    def show(self, value: int) -> str:
+        if not value:
+            return "0"
+        for unit in ("GiB", "MiB", "KiB", "GB", "MB", "kB"):
+            if value % SIZES[unit] == 0:
+                return f"{value // SIZES[unit]}{unit}"
+        return f"{value}B"
+
+
+@dataclass(frozen=True)
+class Rate(Type):
+    """Units a second."""
+
+    words: str = "rate"
+
+    def read(self, items: tuple[Item, ...], bare: bool = False) -> float:
+        if len(items) == 1:
+            return float(self.one(items[0], bare))
+        return float(super().read(items, bare))
+
+    def one(self, item: Item, bare: bool) -> float:
+        text = "".join(word.text for word in item)
+        number, unit = _parted(text, item[0], "8 units/s")
+        if number < 0:
+            raise Wrong(
+                f"{text!r} is not a number from 0 to 1e+12",
+                "write a rate of 0 or more",
+                item[0],
+                "out-of-range",
+            )
+        if unit not in ("units/s", "unit/s") and not (bare and not unit) and (unit or number):
+            what = f"{text!r} has no unit" if not unit else f"{unit!r} is no rate"
+            raise Wrong(what, f"write {number:g} units/s", item[0], "no-unit" if not unit else "bad-unit")
+        return number
+
+    def show(self, value: float) -> str:
+        return f"{show_number(value)} units/s" if value else "0"
+
+
+@dataclass(frozen=True)
+class Share(Type):
+    """A part of a whole, 0 to 1; written in percent."""
+
+    words: str = "share"
+
+    def text(self, word: Word) -> float:
+        return self._value(word, False)
+
+    def one(self, item: Item, bare: bool) -> float:
+        return self._value(item[0], bare) if len(item) == 1 else float(super().one(item, bare))
+
+    def _value(self, word: Word, bare: bool) -> float:
+        number, unit = _parted(word.text, word, "15%")
+        if unit != "%" and not (bare and not unit) and (unit or number):
+            raise Wrong(
+                f"{word.text!r} is no share", f"write it in percent, as in {number * 100:g}%", word, "no-unit"
+            )
+        value = number / 100 if unit == "%" else number
+        if not 0 <= value <= 1:
+            raise Wrong(
+                f"{word.text!r} is not a number from 0 to 1 (0% to 100%)",
+                "write 0% to 100%",
+                word,
+                "out-of-range",
+            )
+        return value
+
+    def show(self, value: float) -> str:
+        return f"{show_number(round(value * 100, 10))}%"
+
+
+@dataclass(frozen=True)
+class Number(Type):
+    """A plain number within bounds."""
+
+    words: str = "number"
+    low: float = 0.0
+    high: float = 1e12
+
+    def text(self, word: Word) -> float:
+        try:
+            value = float(word.text)
+        except ValueError:
+            value = math.nan
+        if not self.low <= value <= self.high:
+            text = f"{word.text!r} is not a number from {self.low:g} to {self.high:g}"
+            fix = (
+                f"write a dot: {word.text.replace(',', '.')}"
+                if "," in word.text
+                else "write a plain number, as in 2.5"
+            )
+            raise Wrong(text, fix, word, "out-of-range")
+        return value
+
+    def show(self, value: float) -> str:
+        return show_number(value)
+
+
+@dataclass(frozen=True)
+class Count(Type):
+    """A whole number within bounds."""
+
+    words: str = "count"
+    low: int = 0
+    high: int = 2**31
+
+    def text(self, word: Word) -> int:
+        if not re.fullmatch(r"-?[0-9]{1,12}", word.text) or not self.low <= int(word.text) <= self.high:
+            text = f"{word.text!r} is not a whole number from {self.low} to {self.high}"
+            raise Wrong(text, "write a whole number, with no unit", word, "out-of-range")
+        return int(word.text)
+
+    def show(self, value: int) -> str:
+        return str(value)
+
+
+@dataclass(frozen=True)
+class OneOf(Type):
+    """One of a few words."""
+
+    words: str = "word"
+    allowed: tuple[str, ...] = ()
+
+    def text(self, word: Word) -> str:
+        if word.text not in self.allowed:
+            text = f"{word.text!r} is none of {', '.join(self.allowed)}"
+            raise Wrong(text, nearest(word.text, self.allowed), word, "unknown-word")
+        return word.text
+
+
+@dataclass(frozen=True)
+class Flag(Type):
+    """yes or no."""
+
+    words: str = "yes or no"
+
+    def text(self, word: Word) -> bool:
+        if word.text not in ("yes", "no"):
+            meant = {"true": "yes", "on": "yes", "1": "yes", "false": "no", "off": "no", "0": "no"}.get(
+                word.text.lower()
+            )
+            fix = f"write {meant}" if meant else "write yes or no"
+            raise Wrong(f"{word.text!r} is none of yes, no", fix, word, "unknown-word")
+        return word.text == "yes"
+
+    def show(self, value: bool) -> str:
+        return "yes" if value else "no"
+
+
+@dataclass(frozen=True)
+class Many(Type):
+    """Several words of a kind, set apart by commas; their order means nothing."""
+
+    words: str = "words"
+    of: Type = Type()
+    several: bool = True
+
+    def read(self, items: tuple[Item, ...], bare: bool = False) -> tuple[Any, ...]:
+        found: list[Any] = []
+        for item in items:
+            for word in item:
+                value = self.of.text(word)
+                if value in found:
+                    raise Wrong(f"{word.text!r} is given twice", "keep one", word, "twice")
+                found.append(value)
+        return tuple(sorted(found))
+
+    def show(self, value: tuple[Any, ...]) -> str:
+        return ", ".join(self.of.show(each) for each in value)
+
+
+@dataclass(frozen=True)
+class Shards(Type):
+    """Shards such as ``0-3, 7``."""
+
+    words: str = "shards"
+    several: bool = True
+
+    def read(self, items: tuple[Item, ...], bare: bool = False) -> tuple[int, ...]:
+        found: list[int] = []
+        for word in (word for item in items for word in item):
+            ends = re.fullmatch(r"(\d{1,6})(?:-(\d{1,6}))?", word.text)
+            if not ends:
+                text = f"{word.text!r} is not a shard or a range of shards"
+                raise Wrong(text, "write them like 0-3, 7", word, "bad-shards")
+            first, last = int(ends[1]), int(ends[2] or ends[1])
+            if last < first or last > 100_000:
+                text = f"{word.text!r} is not a range from low to high (100000 at most)"
+                raise Wrong(
+                    text,
+                    f"write {last}-{first}" if last < first else "write smaller numbers",
+                    word,
+                    "bad-shards",
+                )
+            found += range(first, last + 1)
+            if len(set(found)) != len(found):
+                raise Wrong("a shard is named twice", "keep one", word, "twice")
+        return tuple(sorted(found))
+
+    def show(self, value: tuple[int, ...]) -> str:
+        runs: list[list[int]] = []
+        for shard in value:
+            if runs and runs[-1][1] == shard - 1:
+                runs[-1][1] = shard
+            else:
+                runs.append([shard, shard])
+        return ", ".join(str(a) if a == b else f"{a}-{b}" for a, b in runs)
+
+
+@dataclass(frozen=True)
+class Address(Type):
+    """HOST:PORT."""
+
+    words: str = "address"
+
+    def text(self, word: Word) -> Listen:
+        host, colon, port = word.text.rpartition(":")
+        if not colon or not host or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65535:
+            raise Wrong(
+                f"{word.text!r} is not HOST:PORT", "write it like 127.0.0.1:8080", word, "bad-address"
+            )
+        return Listen(host.strip("[]"), int(port))
+
+    def show(self, value: Listen) -> str:
+        return f"[{value.host}]:{value.port}" if ":" in value.host else f"{value.host}:{value.port}"
+
+
+@dataclass(frozen=True)
+class Url(Type):
+    """``http://HOST:PORT/PATH``."""
+
+    words: str = "URL"
+
+    def text(self, word: Word) -> tuple[str, int, str]:
+        found = re.fullmatch(r"http://([^/:\s]+):([0-9]{1,5})(/\S*)?", word.text)
+        if not found or int(found[2]) > 65535:
+            text = f"{word.text!r} is not an address like http://127.0.0.1:7000/nodes"
+            raise Wrong(text, "write http://HOST:PORT/PATH", word, "bad-address")
+        return found[1], int(found[2]), found[3] or "/nodes"
+
+    def show(self, value: tuple[str, int, str]) -> str:
+        return quoted(f"http://{value[0]}:{value[1]}{value[2]}")
+
+
+@dataclass(frozen=True)
+class Pattern(Type):
+    """A volume's name, or the beginning of one and ``*``."""
+
+    words: str = "pattern"
+
+    def text(self, word: Word) -> str:
+        if not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}\*?|\*", word.text):
+            star = "*" in word.text[:-1]
+            text = f"{word.text!r} is no volume's name or beginning"
+            fix = (
+                "a * goes at the end alone, as in school-*"
+                if star
+                else "letters, digits, dots, dashes and underscores"
+            )
+            raise Wrong(text, fix, word, "bad-pattern")
+        return word.text
+
+
+@dataclass(frozen=True)
+class Header(Type):
+    """``NAME: VALUE``."""
+
+    words: str = "header"
+
+    def one(self, item: Item, bare: bool) -> tuple[str, str]:
+        text = " ".join(word.text for word in item)
+        name, colon, value = text.partition(":")
+        if not colon or not re.fullmatch(r"[A-Za-z0-9-]+", name) or not value.strip():
+            raise Wrong(f"{text!r} is no header", "write it like X-Kind: import", item[0], "bad-header")
+        return name.lower(), value.strip()
+
+    def show(self, value: tuple[str, str]) -> str:
+        return f"{value[0]}: {quoted(value[1])}"
+
+
+@dataclass(frozen=True)
+class Sizes(Type):
+    """A range of sizes: ``over 1MiB``, ``up to 64KiB``, ``1MiB to 64MiB``; first counted out, last in."""
+
+    words: str = "sizes"
+
+    def one(self, item: Item, bare: bool) -> tuple[int, int]:
+        words = [word.text for word in item]
+        size = Size()
+        if len(item) == 2 and words[0] == "over":
+            return size.text(item[1]), 2**62
+        if len(item) == 3 and words[:2] == ["up", "to"]:
+            return -1, size.text(item[2])
+        if len(item) == 3 and words[1] == "to":
+            low, high = size.text(item[0]), size.text(item[2])
+            if low >= high:
+                raise Wrong(
+                    f"{' '.join(words)!r} holds no size",
+                    "write the smaller one first",
+                    item[0],
+                    "out-of-range",
+                )
+            return low, high
+        fix = "write over 1MiB, up to 64KiB, or 1MiB to 64MiB"
+        raise Wrong(f"{' '.join(words)!r} is no range of sizes", fix, item[0], "bad-sizes")
+
+    def show(self, value: tuple[int, int]) -> str:
+        low, high = value
+        if high >= 2**62:
+            return f"over {Size().show(low)}"
+        return f"up to {Size().show(high)}" if low < 0 else f"{Size().show(low)} to {Size().show(high)}"
+
+
+OPERATION = OneOf("operation", allowed=OPERATIONS)
+METHOD = OneOf("method", allowed=("GET", "HEAD", "PUT", "POST", "DELETE"))
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -33,8 +33,8 @@
 class Fleet:
     """The gateways, stores and list service of a day while it is played."""
 
-    def __init__(self, day: script.Day, where: Path, group: TaskGroup) -> None:
-        self.day, self.where, self.group = day, where, group
+    def __init__(self, day: script.Day, where: Path, group: TaskGroup, more: str = "") -> None:
+        self.day, self.where, self.group, self.more = day, where, group, more
         self.record = Record()
         self.list = ListService(self.record)
         self.meter, self.racks = Meter(), [Rack(), Rack()]
@@ -74,8 +74,8 @@
         """Start a gateway's process and wait for its address."""
         port_file = self.where / f"gateway-{index}.port"
         port_file.unlink(missing_ok=True)
-        settings = self.where / f"gateway-{index}.ini"
-        settings.write_text(script.settings(self.day, index, self.list.port, str(port_file)))
+        settings = self.where / f"gateway-{index}.conf"
+        settings.write_text(script.settings(self.day, index, self.list.port, str(port_file), self.more))
         with (self.where / f"gateway-{index}.log").open("ab") as log:
             command = [sys.executable, "-m", "winchdyke", "serve", "-c", str(settings)]
             process = await anyio.open_process(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
@@ -195,10 +195,10 @@
         await self.start_gateway(index)
 
 
-async def play(day: script.Day, where: Path) -> tuple[list[Seen], list[int]]:
+async def play(day: script.Day, where: Path, more: str = "") -> tuple[list[Seen], list[int]]:
     """Play a day: what was seen, and how the gateways ended. Logs and settings stay in ``where``."""
     async with anyio.create_task_group() as group:
-        fleet = Fleet(day, where, group)
+        fleet = Fleet(day, where, group, more)
         try:
             await fleet.start()
             draw = random.Random(f"{day.name}/{day.seed}/troubles")
@@ -217,13 +217,15 @@
     return fleet.record.seen, fleet.ends
 
 
-def run_day(day: script.Day, keep: Path | None = None) -> tuple[Verdict, list[Seen], list[int]]:
+def run_day(
+    day: script.Day, keep: Path | None = None, more: str = ""
+) -> tuple[Verdict, list[Seen], list[int]]:
     """Play a day in a folder of its own and judge it. DayError where it could not be played."""
     with tempfile.TemporaryDirectory(prefix="winchdyke-day-") as made:
         where = keep or Path(made)
         where.mkdir(parents=True, exist_ok=True)
         try:
-            seen, ends = anyio.run(play, day, where)
+            seen, ends = anyio.run(play, day, where, more)
         except BaseExceptionGroup as group:
             failed, rest = group.split(DayError)
             if failed is None or rest is not None:
--- a/winchdyke/days/script.py
+++ b/winchdyke/days/script.py
@@ -249,37 +249,54 @@
     return sorted(found, key=lambda wish: wish.at)
 
 
-def settings(day: Day, index: int, list_port: int, port_file: str) -> str:
-    """The INI settings of one of the day's gateways."""
+def settings(day: Day, index: int, list_port: int, port_file: str, more: str = "") -> str:
+    """The settings of one of the day's gateways, in the configuration language; ``more`` is put behind them."""
     rules = day.rules
-    lines = [
-        "[gateway]", f"name = gateway-{index}", f"index = {index}", f"gateways = {day.gateways}",
-        "listen = 127.0.0.1:0", "zone = hall-a", f"seed = {day.seed * 100 + index}", "log = json",
-        f"port_file = {port_file}",
-        "[nodes]", f"list = http://127.0.0.1:{list_port}/nodes", f"discovery = {'asked' if day.must_ask else 'pushed'}",
-        "wait = 2s", "timeout = 1s",
-        "[rules]", "mean_units = 2", f"largest_units = {LARGEST}", f"max_attempts = {rules.max_attempts}",
-        f"max_retry_after = {rules.max_retry_after}ms", f"cold_from = {rules.cold_from}",
-        f"warm_after = {rules.warm_after}ms", f"fall_multiple = {rules.fall_multiple}",
-        f"fall_window = {rules.fall_window}ms", f"cold_units = {rules.cold_units}", f"settle = {rules.settle}ms",
-        f"extra_window = {rules.extra_window}ms", f"extra_free = {rules.extra_free}", f"extra_share = {rules.extra_share}",
-        "meter = 500ms",
+    blocks: list[tuple[str, dict[str, object]]] = [
+        ("gateway", {
+            "name": f"gateway-{index}", "index": index, "gateways": day.gateways, "zone": "hall-a",
+            "seed": day.seed * 100 + index, "port_file": f'"{port_file}"',
+        }),
+        ("listener main", {"address": "127.0.0.1:0"}),
+        ("nodes", {
+            "list": f"http://127.0.0.1:{list_port}/nodes", "discovery": "asked" if day.must_ask else "pushed",
+            "wait": "2s", "timeout": "1s",
+        }),
+        ("rules", {
+            "mean_units": 2, "largest_units": LARGEST, "max_attempts": rules.max_attempts, "meter": "500ms",
+            "max_retry_after": f"{rules.max_retry_after}ms", "cold_from": f"{rules.cold_from * 100}%",
+            "warm_after": f"{rules.warm_after}ms", "fall_multiple": rules.fall_multiple,
+            "fall_window": f"{rules.fall_window}ms", "cold_units": rules.cold_units, "settle": f"{rules.settle}ms",
+            "extra_window": f"{rules.extra_window}ms", "extra_free": rules.extra_free,
+            "extra_share": f"{rules.extra_share * 100}%",
+        }),
     ]  # fmt: skip
+    taken: set[str] = set()
     for kind in day.classes:
-        lines += [
-            f"[class {kind.name}]", f"operations = {kind.operations}", f"worth = {kind.worth}", f"aim = {kind.aim}ms",
-            f"deadline = {kind.deadline}ms", "late_share = 0.1", f"effect = {kind.effect}", f"scope = {kind.scope}",
-            f"memory = {kind.memory}ms", f"in_order = {'yes' if kind.in_order else 'no'}",
-            f"writes = {'yes' if kind.writes else 'no'}", f"unit_bytes = {UNIT_BYTES}B", "usual_units = 2",
-        ]  # fmt: skip
+        operations = kind.operations.split()
+        own, also = [o for o in operations if o not in taken], [o for o in operations if o in taken]
+        taken |= set(own)
+        keys: dict[str, object] = {"operations": ", ".join(own)} if own else {}
+        keys |= {"also": ", ".join(also)} if also else {}
+        keys |= {
+            "worth": kind.worth, "aim": f"{kind.aim}ms", "deadline": f"{kind.deadline}ms", "late_share": "10%",
+            "effect": kind.effect, "scope": kind.scope, "memory": f"{kind.memory}ms",
+            "in_order": "yes" if kind.in_order else "no", "writes": "yes" if kind.writes else "no",
+            "unit_bytes": f"{UNIT_BYTES}B", "usual_units": 2,
+        }  # fmt: skip
+        blocks.append((f"class {kind.name}", keys))
     for plan in day.plans:
-        lines += [
-            f"[plan {plan.name}]", f"usual_rate = {plan.usual_rate}", f"weight = {plan.weight}",
-            f"worth_factor = {plan.worth_factor}", f"reserve = {plan.reserve}", f"limit = {plan.limit}",
-            f"limit_burst = {plan.limit_burst}",
-        ]  # fmt: skip
+        keys = {
+            "usual_rate": f"{plan.usual_rate} units/s", "weight": plan.weight, "worth_factor": plan.worth_factor,
+            "reserve": f"{plan.reserve} units/s", "limit": f"{plan.limit} units/s", "limit_burst": plan.limit_burst,
+        }  # fmt: skip
+        blocks.append((f"plan {plan.name}", keys))
     for volume in day.volumes:
         shards = ", ".join(str(shard) for shard in volume.shards)
-        lines += [f"[volume {volume.name}]", f"plan = {volume.plan}", f"shards = {shards}"]
-        lines += [f"gateways = {len(volume.gateways)}"]
-    return "\n".join(lines) + "\n"
+        keys = {"plan": volume.plan, "shards": shards, "gateways": len(volume.gateways)}
+        blocks.append((f"volume {volume.name}", keys))
+    texts = [
+        "".join([f"{title} {{\n", *(f"    {key} = {value}\n" for key, value in keys.items()), "}\n"])
+        for title, keys in blocks
+    ]
+    return "\n".join(texts) + more
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -43,6 +43,7 @@
         self.follower = Follower(config.nodes, config.gateway.name, self.engine.clock, self._listed)
         self.engine.watch = self.follower.ask
         self.address = ("", 0)
+        self.addresses: list[tuple[str, int]] = []
         self._connections: set[ClientConnection] = set()
         self._stop = anyio.Event()
         self._log = structlog.get_logger("gateway")
@@ -60,21 +61,24 @@
 
     async def run(self, started: Callable[[], None] = lambda: None) -> None:
         """Serve until stopped. StartError where the address can't be listened at."""
-        listener = await self._listen()
-        self.address = listener.extra(SocketAttribute.local_address)[:2]  # type: ignore[assignment]
+        listeners = await self._listen()
+        self.addresses = [listener.extra(SocketAttribute.local_address)[:2] for listener in listeners]  # type: ignore[misc]
+        self.address = self.addresses[0]
         async with anyio.create_task_group() as group:
             group.start_soon(self.engine.run)
             self.engine.post(api.NodeList(api.ListKind.CACHED))
             group.start_soon(self.follower.run)
             group.start_soon(self._sweep)
-            accepting = anyio.CancelScope()
-            group.start_soon(self._accept, listener, accepting, group)
+            accepting: list[anyio.CancelScope] = []
+            for listener in listeners:
+                group.start_soon(self._accept, listener, accepting, group)
             self._log.info(
                 "started", gateway=self.config.gateway.name, host=self.address[0], port=self.address[1]
             )
             started()
             await self._stop.wait()
-            accepting.cancel()
+            for scope in accepting:
+                scope.cancel()
             await self._drain()
             group.cancel_scope.cancel()
         await self.pool.close()
@@ -82,23 +86,29 @@
             "stopped", pool=str(self.pool), **{key.lower(): n for key, n in self.engine.counts.items()}
         )
 
-    async def _listen(self) -> SocketListener:
-        where = self.config.gateway.listen
-        try:
-            multi = await anyio.create_tcp_listener(
-                local_host=where.host, local_port=where.port, backlog=BACKLOG
-            )
-        except OSError as error:
-            raise StartError(
-                f"can't listen at {where.host}:{where.port}: {error.strerror or error}; see [gateway] listen"
-            ) from error
-        first = multi.listeners[0]
-        assert isinstance(first, SocketListener)
-        return first
-
-    async def _accept(self, listener: SocketListener, scope: anyio.CancelScope, group: TaskGroup) -> None:
+    async def _listen(self) -> list[SocketListener]:
+        found: list[SocketListener] = []
+        for name, where in self.config.listeners:
+            try:
+                multi = await anyio.create_tcp_listener(
+                    local_host=where.host, local_port=where.port, backlog=BACKLOG
+                )
+            except OSError as error:
+                for listener in found:
+                    await listener.aclose()
+                reason = error.strerror or error
+                raise StartError(
+                    f"can't listen at {where.host}:{where.port}: {reason}; see listener {name}"
+                ) from error
+            found += [listener for listener in multi.listeners if isinstance(listener, SocketListener)]
+        return found
+
+    async def _accept(
+        self, listener: SocketListener, scopes: list[anyio.CancelScope], group: TaskGroup
+    ) -> None:
         async with listener:
-            with scope:
+            with anyio.CancelScope() as mine:
+                scopes.append(mine)
                 while True:
                     try:
                         stream = await listener.accept()
--- a/winchdyke/gateway/logs.py
+++ b/winchdyke/gateway/logs.py
@@ -8,9 +8,13 @@
 import msgspec
 import structlog
 
+access_lines = True
 
-def set_up(form: str) -> None:
-    """``json``, ``console`` or ``none``; all lines go to standard error."""
+
+def set_up(form: str, access: bool = True) -> None:
+    """``json``, ``console`` or ``none``; all lines go to standard error. ``access``: whether each request has one."""
+    global access_lines
+    access_lines = access and form != "none"
     if form == "none":
         structlog.configure(
             wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL),
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -13,8 +14,9 @@
 
 from winchdyke import interface as api
 from winchdyke import placement
+from winchdyke.config.matching import Asked, Route
 from winchdyke.config.model import Config, Kind, VolumeRule
-from winchdyke.gateway import outcomes
+from winchdyke.gateway import logs, outcomes
 from winchdyke.gateway.attempts import Answer, Attempt, ClientLeft, Ended, Outgoing, Sink
 from winchdyke.gateway.bodies import BodyStore, BodyStoreFull, ReplayBody
 from winchdyke.gateway.clients import ClientConnection
@@ -96,7 +98,7 @@
         self.active += 1
         try:
             operation = routes.parse(head)
-            kind, volume = self._settings_of(operation)
+            kind, volume = self._settings_of(operation, head)
             final = await self._keyed(connection, head, operation, kind, volume, request, record)
         except RequestError as error:
             final = Final(error.status, "refused", error.reason, str(error))
@@ -114,7 +116,7 @@
         finally:
             self._access(connection, head, operation, kind, request, final, record, began)
 
-    def _settings_of(self, operation: routes.Operation) -> tuple[Kind, VolumeRule]:
+    def _settings_of(self, operation: routes.Operation, head: RequestHead) -> tuple[Kind, VolumeRule]:
         volume = self._volumes.get(operation.volume)
         if volume is None:
             volume = self.config.volume(operation.volume)
@@ -123,12 +125,25 @@
             if len(self._volumes) > 100_000:
                 self._volumes.clear()
             self._volumes[operation.volume] = volume
-        kind = self.config.kind_for(operation.name, operation.class_name)
+        route = self._route(operation, head)
+        if route is not None and route.shards:
+            volume = dataclasses.replace(volume, shards=route.shards)
+        asked = operation.class_name or (route.class_name if route is not None else "") or None
+        kind = self.config.kind_for(operation.name, asked)
+        if kind is None and not operation.class_name:
+            kind = self.config.kind_for(operation.name, None)
         if kind is None:
             asked = f" in class {operation.class_name!r}" if operation.class_name else ""
             raise RequestError(400, "no-class", f"no class is set up for {operation.name}{asked}")
         return kind, volume
 
+    def _route(self, operation: routes.Operation, head: RequestHead) -> Route | None:
+        if not self.config.routes:
+            return None
+        headers = {name.decode("latin-1"): value.decode("latin-1").strip() for name, value in head.headers}
+        asked = Asked(head.method, operation.volume, operation.key, head.length or 0, headers)
+        return self.config.matcher.match(asked)
+
     async def _keyed(
         self,
         connection: ClientConnection,
@@ -473,6 +488,8 @@
         record: Record,
         began: float,
     ) -> None:
+        if not logs.access_lines:
+            return
         self._log.info(
             "request",
             request=request,
