--- a/winchdyke/config/crosscheck.py
+++ b/winchdyke/config/crosscheck.py
@@ -23,6 +23,7 @@
     _references(builder, named)
     _gateway(builder, named)
     _classes(builder, named)
+    _waits(builder, named)
     _plans(builder, named)
     _volumes(builder, named)
     _routes(builder, named)
@@ -108,6 +109,17 @@
             owner.setdefault(operation, name)
 
 
+def _waits(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    """Times that are legal and a thousand times what stores need."""
+    slowest = max((keys.get("answers_in") or 0.0 for keys in named["store"].values()), default=0.0)
+    show = Duration().show
+    for name, keys in named["class"].items() if slowest else ():
+        aim = keys.get("aim") or 0.0
+        if aim > 1000 * slowest:
+            text = f"is {show(aim)}, and the slowest store answers in {show(slowest)}"
+            builder.say("class", name, "aim", "doubtful", text, f"was {show(aim / 1000)} meant?", WARNING)
+
+
 def _plans(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
     largest = named["rules"].get("", {}).get("largest_units", 0)
     for name, keys in named["plan"].items():
@@ -141,16 +153,10 @@
             text = f"is more than the {count} gateways there are"
             builder.say("volume", name, "gateways", "out-of-range", text, f"write {count} or less")
         pool, shards = keys.get("pool"), keys.get("shards")
-        tried = {key for kind, there, key in builder.origins if (kind, there) == ("volume", name)}
-        if not pool and not shards and {"pool", "shards"} <= keys.keys() and tried:
-            builder.say(
-                "volume",
-                name,
-                "shards",
-                "missing",
-                "is missing and has no default",
-                "add shards = 0-7, or a pool",
-            )
+        read = {"pool", "shards"} <= keys.keys()
+        if read and not pool and not shards:
+            fix = "add shards = 0-7, or a pool"
+            builder.say("volume", name, "shards", "missing", "is missing and has no default", fix)
         if pool and shards:
             builder.say("volume", name, "shards", "both", "a pool is given too", "keep one of the two")
 
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -288,6 +288,13 @@
         if kind in self.defaults:
             layers.append((self._settings(self.defaults[kind], keys, where), f"defaults {kind}"))
         values = self.values[where] = {}
+        for one, other in schema.EXCLUSIVE.get(kind, ()):
+            # The nearer layer's word counts: shards of a volume's own set aside a pool that it would inherit.
+            near = next((layer for layer, _ in layers if one in layer or other in layer), {})
+            for there, gone in ((one, other), (other, one)):
+                if there in near and gone not in near:
+                    for layer, _ in layers:
+                        layer.pop(gone, None)
         for key, rule in keys.items():
             found = next(((layer[key], way) for layer, way in layers if key in layer), None)
             if found is not None:
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -216,4 +216,5 @@
         t.Type("name"),
     ),
 }
+EXCLUSIVE = {"volume": (("pool", "shards"),)}  # keys of which a nearer layer's sets the other's aside
 WORDS = ("include", "let", "template", "defaults", "from")  # of the language: no block has such a name
--- a/winchdyke/config/types.py
+++ b/winchdyke/config/types.py
@@ -213,10 +213,8 @@
     def show(self, value: int) -> str:
         if not value:
             return "0"
-        for unit in ("GiB", "MiB", "KiB", "GB", "MB", "kB"):
-            if value % SIZES[unit] == 0:
-                return f"{value // SIZES[unit]}{unit}"
-        return f"{value}B"
+        units = ("GiB", "MiB", "KiB", "GB", "MB", "kB", "B")
+        return min((f"{value // SIZES[unit]}{unit}" for unit in units if value % SIZES[unit] == 0), key=len)
 
 
 @dataclass(frozen=True)
