--- a/winchdyke/cli/common.py
+++ b/winchdyke/cli/common.py
@@ -6,13 +6,18 @@
 
 import click
 
-from winchdyke.config import Config, ConfigError, load
+from winchdyke.config import Config, ConfigError, Loaded, load_all
 
 
 def settings_from(path: Path) -> Config:
     """The settings in a file; where they can't be used, every mistake is printed and the command ends with 2."""
+    return loaded_from(path).config
+
+
+def loaded_from(path: Path) -> Loaded:
+    """The same, with where each value came from."""
     try:
-        return load(path)
+        return load_all(path)
     except ConfigError as error:
         for problem in error.problems:
             click.echo(str(problem), err=True)
--- a/winchdyke/cli/config.py
+++ b/winchdyke/cli/config.py
@@ -8,8 +8,8 @@
 
 import click
 
-from winchdyke.cli.common import FILE, settings_from
-from winchdyke.config import ConfigError, Loaded, load_all
+from winchdyke.cli.common import FILE, loaded_from, settings_from
+from winchdyke.config import ConfigError, load_all
 from winchdyke.config.diagnostics import ERROR, sarif
 
 
@@ -96,11 +96,6 @@
     raise SystemExit(1 if changes else 0)
 
 
-def _loaded(file: Path) -> Loaded:
-    settings_from(file)
-    return load_all(file)
-
-
 @command.command("explain")
 @click.argument("file", type=FILE)
 @click.argument("path", metavar="PATH")
@@ -110,7 +105,7 @@
     from winchdyke.config.schema import BLOCKS
     from winchdyke.config.types import nearest
 
-    loaded = _loaded(file)
+    loaded = loaded_from(file)
     kind, _, rest = path.partition(".")
     name, _, key = rest.rpartition(".")
     if kind not in BLOCKS:
@@ -194,7 +189,7 @@
     """Write the settings in FILE, INI or not, in the language, resolved to one file."""
     from winchdyke.config.writing import written
 
-    text = written(_loaded(file).values, f"Made from {file.name} by winchdyke config convert.")
+    text = written(loaded_from(file).values, f"Made from {file.name} by winchdyke config convert.")
     if out is None:
         click.echo(text, nl=False)
     else:
--- a/winchdyke/config/__init__.py
+++ b/winchdyke/config/__init__.py
@@ -21,7 +21,7 @@
     except Unreadable as error:
         span = Span(Source(str(path), ""), error.line, error.column, error.column + 1)
         raise ConfigError([Diagnostic(error.code, "file", str(error), error.fix, span)]) from error
-    return ini.load_text(text, str(path)) if ini.is_ini(text) else loading.load_file(path)
+    return ini.load_text(text, str(path)) if ini.is_ini(text) else loading.load_file(path, text=text)
 
 
 def load(path: Path) -> Config:
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -540,10 +540,10 @@
     return Loaded(assemble(builder.values), builder.values, builder.origins, warnings, sources)
 
 
-def load_file(path: Path, environ: Mapping[str, str] | None = None) -> Loaded:
-    """Settings in the language, from a file and what it includes."""
+def load_file(path: Path, environ: Mapping[str, str] | None = None, text: str | None = None) -> Loaded:
+    """Settings in the language, from a file and what it includes; ``text`` is the file's where it was read already."""
     files = Files()
-    files.load(path)
+    files.load(path, text)
     return _from(files, environ)
 
 
--- a/winchdyke/config/sources.py
+++ b/winchdyke/config/sources.py
@@ -85,10 +85,10 @@
         self._total = 0
         self._root = Path()
 
-    def load(self, path: Path) -> None:
-        """Read a file and what it includes."""
+    def load(self, path: Path, text: str | None = None) -> None:
+        """Read a file and what it includes; ``text`` is the file's where it was read already."""
         self._root = path.parent.resolve()
-        self._file(path, (), None)
+        self._file(path, (), None, text)
 
     def text(self, text: str, file: str) -> None:
         """Take a text that is no file; it can't include any."""
@@ -101,7 +101,7 @@
             )
         )
 
-    def _file(self, path: Path, stack: tuple[Path, ...], at: Span | None) -> None:
+    def _file(self, path: Path, stack: tuple[Path, ...], at: Span | None, text: str | None = None) -> None:
         real = path.resolve()
         chain = () if at is None else (*at.source.chain, (at.source.file, at.line))
         source = Source(str(path), "", chain)
@@ -128,7 +128,7 @@
             self._add("too-many", f"more than {MOST_FILES} files are included", "join some of them", at)
             return
         try:
-            text = read(path)
+            text = read(path) if text is None else text
             self._total += len(text)
             if self._total > MOST_TOTAL:
                 raise Unreadable("too-large", f"all files are over {MOST_TOTAL >> 20} MiB", "leave some out")
