Who waited for whom: spans, blame, a durable ledger, reports; first path end to end

After a bad evening nobody can say why one school waited.

Change: accounts/ (the time line of a request, a shadow of the scheduler's decisions that integrates who holds what, the ledger with checksummed segments written off the hot path, the summary and its page), winchdyke waits report, explain and diff, an accounts block in the settings, phases told by attempts. The module is untouched: the shadow reads its state.

--- a/benchmarks/large_settings.py
+++ b/benchmarks/two_settings.py
@@ -16,16 +16,20 @@
 import config as settings
 import gateway as bench
 
+from winchdyke.accounts.ledger import Recovered, read
 from winchdyke.standins.nodelist import ListService
 from winchdyke.standins.record import Record
 
 PATH = "/course-x17/part-5/k-"
 
 
-async def run(rounds: int, seconds: float, where: Path) -> None:
+async def run(what: str, rounds: int, seconds: float, where: Path) -> None:
     """Start both, load them in turn, and print requests a second and their ratio."""
     settings.PLANS, settings.CLASSES = ("plain",), ("fetch", "submit")
-    more = {"small": "", "large": settings.many(5000, 2000).replace("class = submit", "class = fetch")}
+    if what == "large":
+        more = {"without": "", "with": settings.many(5000, 2000).replace("class = submit", "class = fetch")}
+    else:
+        more = {"without": "", "with": f'accounts {{\n    folder = "{where}/ledger"\n}}\n'}
     processes: list[subprocess.Popen] = []
     ports: dict[str, int] = {}
     try:
@@ -52,6 +56,12 @@
                 ports[name] = int(port_file.read_text().strip().rpartition(":")[2])
             await anyio.sleep(0.5)
             await anyio.to_thread.run_sync(measured, ports, rounds, seconds)
+            if what == "accounts":
+                await anyio.sleep(0.5)
+                found = Recovered()
+                kept = sum(1 for _ in read([where / "ledger"], found))
+                size = sum(path.stat().st_size for path in (where / "ledger").iterdir())
+                print(f"{kept} accounts kept, {size / kept:.0f} bytes a request, {len(found.losses)} losses")
             group.cancel_scope.cancel()
     finally:
         for process in processes:
@@ -67,19 +77,20 @@
             assert not found["bad"], f"{found['bad']} errors at {name}"
             if number:  # the first round warms up
                 rates[name].append(found["per_s"])
-    ratios = [a / b for a, b in zip(rates["large"], rates["small"], strict=True)]
+    ratios = [a / b for a, b in zip(rates["with"], rates["without"], strict=True)]
     for name, values in rates.items():
         print(f"{name}: {statistics.median(values):.0f} requests/s (median of {rounds})")
-    print(f"large / small: {statistics.median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})")
+    print(f"with / without: {statistics.median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})")
 
 
 def main() -> None:
     words = argparse.ArgumentParser(description=__doc__)
+    words.add_argument("what", choices=("large", "accounts"))
     words.add_argument("--rounds", type=int, default=9)
     words.add_argument("--seconds", type=float, default=2.0)
     chosen = words.parse_args()
     with tempfile.TemporaryDirectory(prefix="winchdyke-bench-") as where:
-        anyio.run(run, chosen.rounds, chosen.seconds, Path(where))
+        anyio.run(run, chosen.what, chosen.rounds, chosen.seconds, Path(where))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/winchdyke/accounts/ledger.py
@@ -0,0 +1,241 @@
+"""The ledger: accounts in append-only segments, written off the hot path, bounded on disk, readable after any crash.
+
+A segment is a file ``NNNNNNNNNNNN.waits``: a head of 16 bytes (``WDLEDGER``, version, zeros), then records:
+
+    2 bytes   RM
+    4 bytes   length of the payload, little-endian
+    8 bytes   xxh3-64 of the length and the payload
+    payload   msgpack of an Account (an array)
+
+The crash argument: a record counts only with its checksum, and nothing that was written is ever changed. After a kill at
+any byte, all records before the last sync are whole; of what follows, whole records are read and the rest is told as
+lost. A reader that meets a broken record looks for the next place where mark, length and checksum fit, and says how many
+bytes it passed over.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import threading
+import time
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import xxhash
+
+from winchdyke.accounts.spans import Account
+
+MAGIC, VERSION = b"WDLEDGER", 1
+HEAD = MAGIC + bytes([VERSION]) + bytes(7)
+MARK = b"RM"
+FRAME = struct.Struct("<2sIQ")
+DECODER = msgspec.msgpack.Decoder(Account)
+BATCH = 200  # accounts encoded in one go
+LARGEST = 1 << 20  # bytes of one record
+ENDING = ".waits"
+
+
+class LedgerError(Exception):
+    """A ledger that can't be used at all; says what is wrong."""
+
+
+def framed(payload: bytes) -> bytes:
+    """A record as it stands in a segment."""
+    length = len(payload)
+    check = xxhash.xxh3_64_intdigest(struct.pack("<I", length) + payload)
+    return FRAME.pack(MARK, length, check) + payload
+
+
+@dataclass
+class Recovered:
+    """What a reader found: how many records, and what it lost, in words."""
+
+    records: int = 0
+    lost_bytes: int = 0
+    segments: int = 0
+    losses: list[str] = field(default_factory=list)
+
+
+def records(data: bytes, name: str, found: Recovered) -> Iterator[bytes]:
+    """The payloads of a segment; what can't be read is noted in ``found``."""
+    found.segments += 1
+    if not HEAD.startswith(data[: len(HEAD)]) or (len(data) >= len(HEAD) and data[:8] != MAGIC):
+        found.losses.append(f"{name}: the head is broken; records are looked for all the same")
+    at, size = min(len(HEAD), len(data)), len(data)
+    while at < size:
+        payload = _record(data, at)
+        if payload is not None:
+            found.records += 1
+            yield payload
+            at += FRAME.size + len(payload)
+            continue
+        after = data.find(MARK, at + 1)
+        while after >= 0 and _record(data, after) is None:
+            after = data.find(MARK, after + 1)
+        end = size if after < 0 else after
+        found.lost_bytes += end - at
+        what = "the end is not whole" if after < 0 else "broken"
+        found.losses.append(f"{name}: {end - at} bytes at {at}: {what}")
+        at = end
+
+
+def _record(data: bytes, at: int) -> bytes | None:
+    if at + FRAME.size > len(data):
+        return None
+    mark, length, check = FRAME.unpack_from(data, at)
+    if mark != MARK or length > LARGEST or at + FRAME.size + length > len(data):
+        return None
+    payload = data[at + FRAME.size : at + FRAME.size + length]
+    return payload if xxhash.xxh3_64_intdigest(struct.pack("<I", length) + payload) == check else None
+
+
+def read(paths: Iterable[Path], found: Recovered | None = None) -> Iterator[Account]:
+    """All accounts in ledgers: folders of segments, or segments. LedgerError where there is none."""
+    found = found if found is not None else Recovered()
+    for path in paths:
+        segments = sorted(path.glob(f"*{ENDING}")) if path.is_dir() else [path]
+        if not segments:
+            raise LedgerError(f"{path} holds no segment of a ledger (*{ENDING})")
+        for segment in segments:
+            try:
+                data = segment.read_bytes()
+            except OSError as error:
+                raise LedgerError(f"{segment} can't be read: {error.strerror}") from error
+            for payload in records(data, segment.name, found):
+                try:
+                    yield DECODER.decode(payload)
+                except msgspec.DecodeError as error:
+                    found.records -= 1
+                    found.losses.append(f"{segment.name}: a record of another form: {error}")
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Bounds of a ledger: bytes and seconds of a segment, bytes in all, accounts that may wait to be written."""
+
+    segment_bytes: int = 16 << 20
+    segment_s: float = 600.0
+    total_bytes: int = 1 << 30
+    waiting: int = 20_000
+    sync_s: float = 0.2
+
+
+class Writer:
+    """Writes accounts in a thread of its own. ``put`` never waits: what there is no room for is counted in ``dropped``."""
+
+    def __init__(self, folder: Path, bounds: Bounds = Bounds(), sync: object = os.fsync) -> None:
+        self.folder, self.bounds, self._sync = folder, bounds, sync
+        self.dropped = self.written = self.synced = self.failed = 0
+        self.trouble = ""
+        self._items: deque[Account] = deque()
+        self._stop = threading.Event()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._file: int | None = None
+        self._size, self._began, self._number = 0, 0.0, 0
+        folder.mkdir(parents=True, exist_ok=True)
+        for path in folder.glob(f"*{ENDING}"):
+            if path.stem.isdigit():
+                self._number = max(self._number, int(path.stem))
+        self._thread = threading.Thread(target=self._run, name="winchdyke-ledger", daemon=True)
+        self._thread.start()
+
+    def put(self, account: Account) -> None:
+        """Hand over an account."""
+        if len(self._items) >= self.bounds.waiting:
+            self.dropped += 1
+        else:
+            self._items.append(account)
+
+    def close(self, seconds: float = 5.0) -> None:
+        """Write what waits, sync and end; at the most so long."""
+        self._stop.set()
+        self._thread.join(seconds)
+
+    def _run(self) -> None:
+        # It looks now and then and is never woken: a thread that wakes for each account takes the interpreter from
+        # the event loop, and half of its speed.
+        while True:
+            over = self._stop.wait(self.bounds.sync_s)
+            batch: list[Account] = []
+            while self._items:
+                batch.append(self._items.popleft())
+                if len(batch) >= BATCH:
+                    self._write(batch)
+                    batch = []
+            if batch:
+                self._write(batch)
+            self._flush()
+            if over and not self._items:
+                if self._file is not None:
+                    os.close(self._file)
+                return
+
+    def _write(self, batch: list[Account]) -> None:
+        data = b"".join(framed(self._encoder.encode(account)) for account in batch)
+        try:
+            if self._file is None or self._size >= self.bounds.segment_bytes or self._old():
+                self._rotate()
+            assert self._file is not None
+            view = memoryview(data)
+            while view:
+                done = os.write(self._file, view)
+                view = view[done:]
+                self._size += done
+            self.written += len(batch)
+        except OSError as error:
+            # Guards against a full or broken disk: the gateway serves on, and what is lost is counted.
+            self.trouble = error.strerror or str(error)
+            self.failed += len(batch)
+            self._abandon()
+
+    def _old(self) -> bool:
+        return time.monotonic() - self._began >= self.bounds.segment_s
+
+    def _abandon(self) -> None:
+        """Leave a segment whose end may not be whole; the next account begins another."""
+        if self._file is not None:
+            os.close(self._file)
+            self._file = None
+
+    def _rotate(self) -> None:
+        if self._file is not None:
+            self._flush()
+            os.close(self._file)
+            self._file = None
+        self._number += 1
+        path = self.folder / f"{self._number:012}{ENDING}"
+        self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND, 0o640)
+        os.write(self._file, HEAD)
+        folder = os.open(self.folder, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+        self._size, self._began = len(HEAD), time.monotonic()
+        self._bound()
+
+    def _bound(self) -> None:
+        """Delete the oldest segments where all together are over the bound."""
+        segments = sorted(self.folder.glob(f"*{ENDING}"))
+        sizes = {path: path.stat().st_size for path in segments}
+        whole = sum(sizes.values())
+        for path in segments[:-1]:
+            if whole + self.bounds.segment_bytes <= self.bounds.total_bytes:
+                return
+            whole -= sizes[path]
+            path.unlink()
+
+    def _flush(self) -> None:
+        if self._file is None or self.synced == self.written:
+            return
+        written = self.written
+        try:
+            self._sync(self._file)  # type: ignore[operator]
+            self.synced = written
+        except OSError as error:
+            self.trouble = error.strerror or str(error)
+            self._abandon()
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from winchdyke.cli import check, config, day, dev, serve, standin
+from winchdyke.cli import check, config, day, dev, serve, standin, waits
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -13,5 +13,13 @@
     """A storage gateway: it schedules a host's reads and writes across storage nodes."""
 
 
-for command in (serve.command, check.command, config.command, dev.command, day.command, standin.command):
+for command in (
+    serve.command,
+    check.command,
+    config.command,
+    dev.command,
+    day.command,
+    standin.command,
+    waits.command,
+):
     main.add_command(command)
--- a/winchdyke/cli/serve.py
+++ b/winchdyke/cli/serve.py
@@ -22,11 +22,13 @@
     logs.set_up(config.log.form, config.log.access)
     try:
         anyio.run(daemon.serve, config)
+    except daemon.StartError as error:
+        raise click.ClickException(str(error)) from None
     except BaseExceptionGroup as group:
         refused, rest = group.split(daemon.StartError)
         if rest is not None or refused is None:
             raise
-        error: BaseException = refused
-        while isinstance(error, BaseExceptionGroup):
-            error = error.exceptions[0]
-        raise click.ClickException(str(error)) from None
+        inner: BaseException = refused
+        while isinstance(inner, BaseExceptionGroup):
+            inner = inner.exceptions[0]
+        raise click.ClickException(str(inner)) from None
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -505,6 +505,7 @@
         gateway=model.Gateway(**values["gateway", ""]),
         listeners=tuple((name, keys["address"]) for name, keys in named("listener")),
         log=model.Log(**values["log", ""]),
+        accounts=model.Accounts(**values["accounts", ""]),
         limits=model.Limits(**values["limits", ""]),
         nodes=model.Discovery(
             host, port, path, nodes["discovery"] == "asked", nodes["wait"], nodes["timeout"]
--- a/winchdyke/config/meaning.py
+++ b/winchdyke/config/meaning.py
@@ -52,6 +52,7 @@
     values: Values = {
         ("gateway", ""): dataclasses.asdict(config.gateway),
         ("log", ""): dataclasses.asdict(config.log),
+        ("accounts", ""): dataclasses.asdict(config.accounts),
         ("limits", ""): dataclasses.asdict(config.limits),
         ("rules", ""): dataclasses.asdict(config.rules),
     }
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -43,6 +43,17 @@
     access: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Accounts:
+    """The ledger of who waited for whom; an empty folder: none is kept."""
+
+    folder: str
+    segment_bytes: int
+    segment_time: float
+    total_bytes: int
+    sync: float
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds on what clients and stores may use of this gateway."""
@@ -135,6 +146,7 @@
     gateway: Gateway
     listeners: tuple[tuple[str, Listen], ...]
     log: Log
+    accounts: Accounts
     limits: Limits
     nodes: Discovery
     rules: Rules
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -63,6 +63,20 @@
             "access": Key(t.Flag(), "yes", "Whether each request has a line."),
         },
     ),
+    "accounts": Kind(
+        "The ledger of who waited for whom; none is kept where no folder is given.",
+        {
+            "folder": Key(t.Type(), '""', "Where its segments are written."),
+            "segment_bytes": Key(t.Size(likely=(65536, 1 << 30)), "16MiB", "Bytes of a segment."),
+            "segment_time": _time(
+                "10m", "Time after which a segment is followed by the next.", S, 24 * 3600 * S, zero=False
+            ),
+            "total_bytes": Key(t.Size(), "1GiB", "Bytes of all segments; the oldest go first."),
+            "sync": _time(
+                "200ms", "Time after which what was written is on the disk.", 10 * MS, 60 * S, zero=False
+            ),
+        },
+    ),
     "nodes": Kind(
         "The list service.",
         {
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -75,7 +75,8 @@
         port_file = self.where / f"gateway-{index}.port"
         port_file.unlink(missing_ok=True)
         settings = self.where / f"gateway-{index}.conf"
-        settings.write_text(script.settings(self.day, index, self.list.port, str(port_file), self.more))
+        more = self.more.replace("{name}", f"gateway-{index}")
+        settings.write_text(script.settings(self.day, index, self.list.port, str(port_file), more))
         with (self.where / f"gateway-{index}.log").open("ab") as log:
             command = [sys.executable, "-m", "winchdyke", "serve", "-c", str(settings)]
             process = await anyio.open_process(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
--- a/winchdyke/gateway/attempts.py
+++ b/winchdyke/gateway/attempts.py
@@ -80,9 +80,11 @@
         sink: Sink,
         on_stream: Callable[[], None],
         fits: Callable[[AnswerHead], bool],
+        phase: Callable[[str], None] = lambda _: None,
     ) -> None:
         self._pool, self._clock, self._stream_idle = pool, clock, stream_idle_ms
         self._sink, self._on_stream, self._fits = sink, on_stream, fits
+        self._phase = phase
         self._scope = anyio.CancelScope()
         self._cancelled = self._on_client = False
         self._sent = self._all_sent = False
@@ -106,6 +108,7 @@
         connection: Connection | None = None
         self._scope.deadline = anyio.current_time() + max(0.0, timeout_ms) / 1000
         ended: Ended | None = None
+        self._phase("dial")
         try:
             with self._scope:
                 connection = await self._pool.get(node)
@@ -142,9 +145,11 @@
             return await self._exchange_streamed(connection, payload, body)
         payload += (codec.data(ready) if ready else b"") + codec.end()
         self._sent = True
+        self._phase("send")
         try:
             await connection.stream.send(payload)
             self._all_sent = True
+            self._phase("store")
         except LOST:
             pass  # it may have answered before it closed
         return await self._answer(connection)
@@ -181,6 +186,7 @@
             self._sent = True
             await connection.stream.send(head + codec.end())
             self._all_sent = True
+            self._phase("store")
         except (ClientLeft, ProtocolError, BodyStoreFull) as error:
             self._fault = error
             group.cancel_scope.cancel()
@@ -191,6 +197,7 @@
 
     def _wait_on_client(self, waits: bool) -> None:
         now = self._clock()
+        self._phase("body" if waits else "send")
         if waits:
             self._block_began = now
         else:
@@ -201,6 +208,7 @@
         codec = connection.codec
         while isinstance(head := codec.head(), Need):
             codec.feed(await self._receive(connection))
+        self._phase("answer")
         if not self._fits(head):
             raise ProtocolError(502, "store-range", "the store's range is not the one asked for")
         told = storewire.told(head)
@@ -255,10 +263,12 @@
 
     async def _to_client(self, step: object) -> None:
         began = self._clock()
+        self._phase("client")
         try:
             await step  # type: ignore[misc]
         finally:
             self._blocked += self._clock() - began
+            self._phase("answer")
 
     async def _piece(self, connection: Connection) -> Bytes | End:
         while True:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -9,10 +9,13 @@
 from pathlib import Path
 
 import anyio
+import anyio.to_thread
 import structlog
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 
 from winchdyke import interface as api
+from winchdyke.accounts.ledger import Bounds, Writer
+from winchdyke.accounts.recorder import Recorder
 from winchdyke.config import Config
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.gateway.engine import Engine
@@ -39,7 +42,12 @@
         self.config = config
         self.engine = engine or Engine(config.settings(), config.gateway.seed)
         self.pool = Pool(limits.connect_timeout, limits.pool_idle, limits.pool_per_node, self.engine.clock)
-        self.service = Service(config, self.engine, self.pool, self.engine.clock)
+        self.ledger = self._ledger()
+        recorder = None
+        if self.ledger is not None:
+            self.engine.observe()
+            recorder = Recorder(config.gateway.name, self.ledger, lambda: self.engine.observer)
+        self.service = Service(config, self.engine, self.pool, self.engine.clock, recorder)
         self.follower = Follower(config.nodes, config.gateway.name, self.engine.clock, self._listed)
         self.engine.watch = self.follower.ask
         self.address = ("", 0)
@@ -48,6 +56,23 @@
         self._stop = anyio.Event()
         self._log = structlog.get_logger("gateway")
 
+    def _ledger(self) -> Writer | None:
+        accounts = self.config.accounts
+        if not accounts.folder:
+            return None
+        bounds = Bounds(
+            accounts.segment_bytes,
+            accounts.segment_time / 1000,
+            accounts.total_bytes,
+            sync_s=accounts.sync / 1000,
+        )
+        try:
+            return Writer(Path(accounts.folder), bounds)
+        except OSError as error:
+            raise StartError(
+                f"can't write to {accounts.folder}: {error.strerror}; see accounts, folder"
+            ) from error
+
     async def _listed(self, news: api.NodeList) -> None:
         self.engine.post(news)
         if news.kind is api.ListKind.FULL:
@@ -82,6 +107,14 @@
             await self._drain()
             group.cancel_scope.cancel()
         await self.pool.close()
+        if self.ledger is not None:
+            await anyio.to_thread.run_sync(self.ledger.close)
+            kept = {
+                "written": self.ledger.written,
+                "dropped": self.ledger.dropped,
+                "failed": self.ledger.failed,
+            }
+            self._log.info("ledger", **kept)
         self._log.info(
             "stopped", pool=str(self.pool), **{key.lower(): n for key, n in self.engine.counts.items()}
         )
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -16,6 +16,7 @@
 import structlog
 
 from winchdyke import interface as api
+from winchdyke.accounts.why import Observer
 from winchdyke.policy import Scheduler
 
 Told = api.Send | api.Refuse | api.Fail | api.Cancel
@@ -90,6 +91,8 @@
         clock: Callable[[], float] = monotonic_ms,
     ) -> None:
         self.settings, self.clock = settings, clock
+        self.observing = False
+        self.observer: Observer | None = None
         self._make, self._seed, self._starts = make, seed, 0
         self.tickets: dict[str, Ticket] = {}
         self.counts: Counter[str] = Counter()
@@ -106,6 +109,15 @@
         self._starts += 1
         return self._make(self.settings, self._seed + self._starts - 1, self.clock())
 
+    def observe(self) -> None:
+        """From now on see why requests are held."""
+        self.observing = True
+        self._see()
+
+    def _see(self) -> None:
+        scheduler = self._scheduler
+        self.observer = Observer(scheduler) if self.observing and isinstance(scheduler, Scheduler) else None
+
     def take(self, request: api.Request) -> Ticket:
         """Hand a request to the scheduler, which owes it exactly one final answer from now on."""
         if request.id in self.tickets:
@@ -166,6 +178,8 @@
         try:
             for action in self._scheduler.handle(now, events):
                 self._carry_out(now, action)
+            if self.observer is not None:
+                self.observer.look(now)
         except Exception as error:
             self._fault(error)
 
@@ -212,6 +226,7 @@
         for ticket in list(self.tickets.values()):
             self._answer(ticket, "engine-fault")
         self._scheduler = self._begin()
+        self._see()
         self.post(api.NodeList(api.ListKind.CACHED, tuple(self.nodes.values())))
 
     def _answer(self, ticket: Ticket, why: str) -> None:
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -14,6 +14,7 @@
 
 from winchdyke import interface as api
 from winchdyke import placement
+from winchdyke.accounts.recorder import Course, Recorder
 from winchdyke.config.matching import Asked, Route
 from winchdyke.config.model import Config, Kind, VolumeRule
 from winchdyke.gateway import logs, outcomes
@@ -44,8 +45,10 @@
 
 @dataclass(slots=True)
 class Record:
-    """What the access line of a request tells."""
+    """What the access line of a request tells, and its course where accounts are kept."""
 
+    course: Course | None = None
+    ask: api.Request | None = None
     attempts: int = 0
     nodes: list[str] = field(default_factory=list)
     ends: list[str] = field(default_factory=list)
@@ -72,7 +75,15 @@
 class Service:
     """The object API of one gateway."""
 
-    def __init__(self, config: Config, engine: Engine, pool: Pool, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        engine: Engine,
+        pool: Pool,
+        clock: Callable[[], float],
+        recorder: Recorder | None = None,
+    ) -> None:
+        self.recorder = recorder
         self.config, self.engine, self.pool, self.clock = config, engine, pool, clock
         self.bodies = BodyStore(config.limits.body_total, config.limits.body_memory)
         self.stopping = False
@@ -92,7 +103,7 @@
         began, request = self.clock(), f"{self._born}{self._count:012x}"
         connection.begin([(answers.REQUEST_ID, request.encode())], close=self.stopping)
         connection.unread_length = head.length
-        record = Record()
+        record = Record(self.recorder.begin() if self.recorder is not None else None)
         operation: routes.Operation | None = None
         kind: Kind | None = None
         self.active += 1
@@ -111,11 +122,39 @@
         finally:
             self.active -= 1
             connection.on_gone = None
+        if record.course is not None:
+            record.course.phase("client")
         try:
             await self._say(connection, request, final)
         finally:
+            self._account(operation, kind, head, request, final, record)
             self._access(connection, head, operation, kind, request, final, record, began)
 
+    def _account(
+        self,
+        operation: routes.Operation | None,
+        kind: Kind | None,
+        head: RequestHead,
+        request: str,
+        final: Final,
+        record: Record,
+    ) -> None:
+        if self.recorder is None or record.course is None or operation is None or kind is None:
+            return
+        self.recorder.end(
+            record.course,
+            request=request,
+            volume=operation.volume,
+            class_name=kind.rules.name,
+            key=operation.idempotency_key or operation.key,
+            units=record.ask.units if record.ask is not None else 1.0,
+            outcome=final.outcome,
+            reason=final.reason,
+            status=final.status,
+            client_request=operation.client_request,
+            deadline_ms=kind.rules.deadline_ms,
+        )
+
     def _settings_of(self, operation: routes.Operation, head: RequestHead) -> tuple[Kind, VolumeRule]:
         volume = self._volumes.get(operation.volume)
         if volume is None:
@@ -205,11 +244,14 @@
             gateways=volume.gateways,
             left_ms=max(0.0, left),
         )
+        record.ask = ask
         if operation.name == "list":
+            if record.course is not None:
+                record.course.phase("store")  # its parts are requests of their own, side by side
             return await self._listed(connection, operation, ask, volume, record)
         if operation.name != "post":
             shard = placement.shard_of(operation.volume, operation.key, volume.shards)
-            ask = _at(ask, shard)
+            ask = record.ask = _at(ask, shard)
         stem = uuid.uuid4().hex if operation.name == "post" else ""
         ticket = self.engine.take(ask)
 
@@ -302,7 +344,7 @@
         self._watch_client(connection, ticket, running)
         while True:
             since = self.clock()
-            action = await ticket.next()
+            action = await self._told(ticket, record, since)
             record.held_ms += self.clock() - since
             if action is None:
                 return Final(0, "gone", "client-gone")
@@ -319,7 +361,12 @@
             if not isinstance(action, api.Send):
                 continue
             connection.look()
-            ended = await self._attempt(ticket, action, outgoing, operation, sink, running)
+            ended = await self._attempt(ticket, action, outgoing, operation, sink, running, record)
+            if record.course is not None and record.ask is not None and self.recorder is not None:
+                usual = self.recorder.usual(action.node, record.ask.class_name, record.ask.units)
+                record.course.attempts.append(
+                    (action.node, outcomes.CODES[ended.outcome], ended.latency_ms, usual)
+                )
             last = ended.outcome
             record.attempts += 1
             record.nodes.append(action.node)
@@ -329,6 +376,20 @@
             if final is not None:
                 return final
 
+    async def _told(self, ticket: Ticket, record: Record, since: float) -> object:
+        """The scheduler's next word; the wait for it is accounted for."""
+        recorder, course, ask = self.recorder, record.course, record.ask
+        if recorder is None or course is None or ask is None:
+            return await ticket.next()
+        course.phase("held")
+        since_ns = course.line.marks[-1][0]
+        recorder.hold(ticket.id, ask.shard, ask.class_name, since)
+        try:
+            return await ticket.next()
+        finally:
+            course.phase("dial")
+            recorder.release(course, ticket.id, since_ns, self.clock())
+
     def _watch_client(self, connection: ClientConnection, ticket: Ticket, running: list[Attempt]) -> None:
         before = connection.on_gone
 
@@ -353,6 +414,7 @@
         operation: routes.Operation,
         sink: Sink,
         running: list[Attempt],
+        record: Record,
     ) -> Ended:
         number, ticket.attempts = ticket.attempts, ticket.attempts + 1
         timeout = ticket.end - self.clock()
@@ -367,6 +429,7 @@
                 sink,
                 lambda: self.engine.post(api.StreamStarted(ticket.id, number)),
                 lambda head: _fits(operation, head),
+                record.course.phase if record.course is not None else _no_phase,
             )
             running[:] = [attempt]
             ticket.on_cancel = lambda which: attempt.cancel() if which in (number, -1) else None
@@ -438,7 +501,15 @@
                 headers = self._headers(operation, part, None, shard, attempt, None)
                 return Outgoing("GET", operation.target(), headers)
 
-            finals.append(await self._exchange(ticket, outgoing, operation, Nowhere(), connection, record))
+            part_record = Record(ask=part)
+            finals.append(
+                await self._exchange(ticket, outgoing, operation, Nowhere(), connection, part_record)
+            )
+            record.attempts += part_record.attempts
+            record.nodes += part_record.nodes
+            record.ends += part_record.ends
+            record.held_ms += part_record.held_ms
+            record.out_ms += part_record.out_ms
 
         async with anyio.create_task_group() as group:
             for number, shard in enumerate(volume.shards):
@@ -527,5 +598,9 @@
     )
 
 
+def _no_phase(_: str) -> None:
+    """No account is kept."""
+
+
 def _fits(operation: routes.Operation, head: AnswerHead) -> bool:
     return ranges.answers(operation.range, head.status, head.get(b"content-range"), head.length)
