Formatting: a semicolon behind a comma does not end the value

Cause: found by fuzzing after 207,216 runs: the grammar lets a value go on after a comma over any separator, the formatter only over a line end, so a file changed again when formatted twice.

--- a/winchdyke/config/fmt.py
+++ b/winchdyke/config/fmt.py
@@ -77,7 +77,8 @@
             out.depth = max(0, out.depth - 1)
             out.emit("}")
         elif token == ";":
-            out.flush()
+            if not (out.line and out.line[-1] == ","):  # behind a comma a value goes on, as over a line end
+                out.flush()
         else:
             out.line.append(token)
         newlines, fresh = 0, False
