A model in virtual time with the real module; blame against scenes without the blamed

Need: blame must be tried against what would have been, at sizes that sockets don't reach. Change: model/world.py (gateways with the real scheduler and its shadow, stores, open-loop courses, all by seed) and the counterfactual check.

--- /dev/null
+++ b/winchdyke/model/world.py
@@ -0,0 +1,243 @@
+"""Gateways, stores and clients in virtual time. The scheduler is the real one, unchanged; all else is a model.
+
+Simulated figures are not measurements. What the model leaves out: networks that lose or reorder, lists that are late,
+clients' second tries, bodies, the gateway's own time. Arrivals of each course are drawn from its own seed, so that a scene
+without a course is the same scene for all others: that is what the counterfactual check needs.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from winchdyke import interface as api
+from winchdyke.accounts.spans import Holder
+from winchdyke.accounts.why import Observer
+from winchdyke.policy import Scheduler
+
+CLASSES = (
+    api.RequestClass("fetch", 2.0, 400.0, 3000.0, 0.1, api.Effect.IDEMPOTENT, api.Scope.ALL, 0.0),
+    api.RequestClass(
+        "submit", 3.0, 500.0, 2500.0, 0.15, api.Effect.KEYED, api.Scope.CELL, 4000.0, writes=True
+    ),
+    api.RequestClass("export", 1.0, 1500.0, 5000.0, 0.2, api.Effect.IDEMPOTENT, api.Scope.ALL, 0.0),
+)
+PLANS = (
+    api.Plan("basic", 0.96, 1.0, 20.0, 0.0),
+    api.Plan("school", 1.2, 2.0, 40.0, 30.0),
+    api.Plan("contest", 1.4, 6.0, 60.0, 60.0),
+)
+
+
+@dataclass(frozen=True)
+class Course:
+    """A volume's traffic: requests a second of a class, their units, where its data lies, the gateways it comes through."""
+
+    name: str
+    rate: float
+    class_name: str = "fetch"
+    units: float = 2.0
+    plan: str = "school"
+    shards: tuple[int, ...] = (0,)
+    gateways: tuple[int, ...] = (0,)
+    begin_ms: float = 0.0
+    end_ms: float = float("inf")
+
+
+@dataclass(frozen=True)
+class Scene:
+    """A fleet, its courses, and nodes that are slower by a factor."""
+
+    courses: tuple[Course, ...]
+    gateways: int = 1
+    stores: int = 1
+    cores: int = 2
+    unit_ms: float = 10.0
+    net_ms: float = 0.5
+    length_ms: float = 10_000.0
+    seed: int = 1
+    slow: tuple[tuple[int, float], ...] = ()
+
+
+@dataclass
+class Done:
+    """One request's course."""
+
+    id: str
+    course: str
+    class_name: str
+    gateway: int
+    at: float
+    held: float = 0.0
+    end: float = 0.0
+    outcome: str = ""
+    blame: dict[Holder, float] = field(default_factory=dict)
+    causes: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def latency(self) -> float:
+        """From its coming to its answer, in milliseconds."""
+        return self.end - self.at
+
+
+class _Store:
+    def __init__(self, cores: int, unit_ms: float) -> None:
+        self.free, self.unit_ms = cores, unit_ms
+        self.queue: deque[tuple[int, str, int, float, float]] = deque()
+
+
+class World:
+    """One run of a scene."""
+
+    def __init__(self, scene: Scene, without: frozenset[str] = frozenset()) -> None:
+        self.scene = scene
+        self._heap: list[tuple[float, int, str, tuple[object, ...]]] = []
+        self._order = itertools.count()
+        self.done: dict[str, Done] = {}
+        settings = [
+            api.Settings(
+                gateways=scene.gateways, index=index, classes=CLASSES, plans=PLANS, mean_units=2.0, largest_units=8.0,
+                fair_worth=0.3, idle_worth=0.08, max_attempts=3, max_retry_after_ms=500.0,
+            )
+            for index in range(scene.gateways)
+        ]  # fmt: skip
+        self.schedulers = [Scheduler(each, scene.seed * 1000 + each.index, 0.0) for each in settings]
+        self.observers = [Observer(scheduler) for scheduler in self.schedulers]
+        slow = dict(scene.slow)
+        self.stores = [_Store(scene.cores, scene.unit_ms * slow.get(n, 1.0)) for n in range(scene.stores)]
+        self._open: dict[str, tuple[api.Request, int]] = {}
+        nodes = tuple(api.Node(f"n{shard}", api.NodeState.READY, shard) for shard in range(scene.stores))
+        for index in range(scene.gateways):
+            self._give(0.0, index, [api.NodeList(api.ListKind.FULL, nodes)])
+        for course in scene.courses:
+            if course.name not in without:
+                self._arrivals(course)
+
+    def _at(self, time: float, kind: str, *what: object) -> None:
+        heapq.heappush(self._heap, (time, next(self._order), kind, what))
+
+    def _arrivals(self, course: Course) -> None:
+        draw = random.Random(f"{self.scene.seed}/{course.name}")
+        now, number = course.begin_ms, 0
+        while (now := now + draw.expovariate(course.rate) * 1000) < min(course.end_ms, self.scene.length_ms):
+            number += 1
+            request = api.Request(
+                f"{course.name}-{number}", course.class_name, course.plan, course.name, f"k{number}", course.units,
+                draw.choice(course.shards), len(course.gateways), next(k.deadline_ms for k in CLASSES if k.name == course.class_name),
+            )  # fmt: skip
+            self._at(now, "arrive", draw.choice(course.gateways), request)
+
+    def run(self) -> list[Done]:
+        """Play it to its end: every request, in order of coming."""
+        while self._heap:
+            now, _, kind, what = heapq.heappop(self._heap)
+            if kind == "arrive":
+                gateway, request = what
+                assert isinstance(gateway, int) and isinstance(request, api.Request)
+                self.done[request.id] = Done(request.id, request.volume, request.class_name, gateway, now)
+                self._open[request.id] = request, 0
+                self.observers[gateway].begin(request.id, request.shard, request.class_name, now)
+                self._give(now, gateway, [request])
+            elif kind == "timer":
+                gateway, tag = what
+                assert isinstance(gateway, int) and isinstance(tag, int)
+                if tag or self._open:
+                    self._give(now, gateway, [api.TimerFired(tag)])
+            elif kind == "work":
+                self._work(now, *what)  # type: ignore[arg-type]
+            elif kind == "worked":
+                self._worked(now, *what)  # type: ignore[arg-type]
+            else:
+                gateway, event = what
+                assert isinstance(gateway, int) and isinstance(event, api.AttemptEnded)
+                self._answered(now, gateway, event)
+        return list(self.done.values())
+
+    def _give(self, now: float, index: int, events: list[api.Event]) -> None:
+        observer = self.observers[index]
+        for action in self.schedulers[index].handle(now, events):
+            if isinstance(action, api.SetTimer):
+                self._at(now + max(0.001, action.after_ms), "timer", index, action.tag)
+            elif isinstance(action, api.Send):
+                request, attempt = self._open[action.request]
+                self._open[action.request] = request, attempt + 1
+                self._held(now, observer, action.request)
+                self._at(
+                    now + self.scene.net_ms,
+                    "work",
+                    request.shard,
+                    index,
+                    request.id,
+                    attempt,
+                    request.units,
+                    now,
+                )
+            elif isinstance(action, (api.Refuse, api.Fail)):
+                self._held(now, observer, action.request)
+                done = self.done[action.request]
+                done.end, done.outcome = now, "refused" if isinstance(action, api.Refuse) else "failed"
+                self._open.pop(action.request, None)
+        observer.look(now)
+
+    def _held(self, now: float, observer: Observer, request: str) -> None:
+        holders, causes = observer.end(request, now)
+        done = self.done[request]
+        for holder, value in holders.items():
+            done.blame[holder] = done.blame.get(holder, 0.0) + value
+        for cause, value in causes.items():
+            done.causes[cause] = done.causes.get(cause, 0.0) + value
+        done.held += sum(holders.values())
+
+    def _work(
+        self, now: float, shard: int, gateway: int, request: str, attempt: int, units: float, sent: float
+    ) -> None:
+        store = self.stores[shard]
+        store.queue.append((gateway, request, attempt, units, sent))
+        self._next(now, shard)
+
+    def _next(self, now: float, shard: int) -> None:
+        store = self.stores[shard]
+        while store.free and store.queue:
+            gateway, request, attempt, units, sent = store.queue.popleft()
+            store.free -= 1
+            self._at(now + units * store.unit_ms, "worked", shard, gateway, request, attempt, sent)
+
+    def _worked(self, now: float, shard: int, gateway: int, request: str, attempt: int, sent: float) -> None:
+        self.stores[shard].free += 1
+        self._next(now, shard)
+        end = now + self.scene.net_ms
+        event = api.AttemptEnded(request, attempt, f"n{shard}", api.Outcome.SERVED, end - sent, True)
+        self._at(end, "answer", gateway, event)
+
+    def _answered(self, now: float, gateway: int, event: api.AttemptEnded) -> None:
+        done = self.done[event.request]
+        if not done.outcome:
+            done.end, done.outcome = now, "served"
+            self._open.pop(event.request, None)
+        self._give(now, gateway, [event])
+
+
+def play(scene: Scene, without: frozenset[str] = frozenset()) -> list[Done]:
+    """All requests of a scene, without some courses."""
+    return World(scene, without).run()
+
+
+@dataclass(frozen=True)
+class Check:
+    """Blame held against the same scene without the blamed course: milliseconds of the waiter's requests in all."""
+
+    blamed: float
+    fell: float
+    held: float
+
+
+def counterfactual(scene: Scene, waiter: str, blamed: str) -> Check:
+    """How much of a course's wait is put on another, and by how much it falls where that one never came."""
+    whole, less = play(scene), play(scene, frozenset({blamed}))
+    mine = [done for done in whole if done.course == waiter]
+    put = sum(v for done in mine for holder, v in done.blame.items() if holder[:2] == ("volume", blamed))
+    held = sum(done.held for done in mine)
+    return Check(put, held - sum(done.held for done in less if done.course == waiter), held)
