--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
+from click.testing import CliRunner
 
+from winchdyke.cli.main import main
 from winchdyke.model.world import Course, Scene, counterfactual, play
 
 
@@ -53,3 +57,32 @@
     found = play(Scene(courses, gateways=30, stores=8, length_ms=2000.0))
     assert len(found) > 200
     assert all(done.outcome for done in found)
+
+
+def test_an_experiment_from_a_file(tmp_path):
+    file = tmp_path / "e.toml"
+    head = 'name = "e"\nsweep = "rate_factor"\nvalues = [0.5, 8]\nseeds = [1]\nlength_ms = 2000.0\n'
+    file.write_text(head + '[[courses]]\nname = "c"\nrate = 20.0\n')
+    done = CliRunner().invoke(main, ["model", "run", str(file), "--json"])
+    calm, full = json.loads(done.output)
+    assert calm["served"] == 1.0
+    assert full["held_ms"] > 10 * calm["held_ms"]
+    assert "simulated" in CliRunner().invoke(main, ["model", "run", str(file)]).output
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ('name = "e"\n', "missing required field `courses`"),
+        ('name = "e"\nsweep = "colour"\n[[courses]]\nname = "c"\n', "sweep is 'colour'; it can be gateways"),
+        ('name = "e"\ncourse = 1\n', "unknown field `course`|missing required"),
+        ("name = e", "Invalid value|line 1"),
+        ('name = "e"\nvalues = []\n[[courses]]\nname = "c"\n', "one entry at least"),
+    ],
+)
+def test_what_is_no_experiment_is_said(tmp_path, text, said):
+    file = tmp_path / "e.toml"
+    file.write_text(text)
+    done = CliRunner().invoke(main, ["model", "run", str(file)])
+    assert done.exit_code == 1
+    assert any(words in done.output for words in said.split("|")), done.output
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from winchdyke.cli import check, config, day, dev, serve, standin, waits
+from winchdyke.cli import check, config, day, dev, model, serve, standin, waits
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -21,5 +21,6 @@
     day.command,
     standin.command,
     waits.command,
+    model.command,
 ):
     main.add_command(command)
