--- a/winchdyke/accounts/report.py
+++ b/winchdyke/accounts/report.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+from hdrh.histogram import HdrHistogram
 
 from winchdyke.accounts.spans import Account, Holder
 
