Code that nothing called is taken out

Cause: read again as a whole, the change held a second way to a node's usual latency, a flag on bodies that nobody read and a loader of records that nobody used. Change: the three are gone. Result: style, types and the tests around them pass.

--- a/winchdyke/accounts/why.py
+++ b/winchdyke/accounts/why.py
@@ -14,7 +14,6 @@
 
 from collections import OrderedDict
 from itertools import islice
-from typing import Any
 
 from winchdyke.accounts.spans import Holder
 from winchdyke.policy import CEILING, Held, NodeView, Scheduler, Shard
@@ -231,9 +230,3 @@
     def usual(self, node: NodeView, class_name: str, units: float) -> float:
         """A node's usual latency for so much work, in milliseconds: what is learnt of its class and of itself."""
         return float(self.scheduler.cost[class_name] * units * max(1.0, node.window.long))
-
-
-def usual_of(scheduler: Any, node: str, class_name: str, units: float) -> float:
-    """The same by a node's name; 0 where it is not known."""
-    view = scheduler.nodes.get(node) if isinstance(scheduler, Scheduler) else None
-    return Observer(scheduler).usual(view, class_name, units) if view is not None else 0.0
--- a/winchdyke/gateway/bodies.py
+++ b/winchdyke/gateway/bodies.py
@@ -70,10 +70,8 @@
             None  # at most one batch is being written while the next one comes
         )
         self.got, self.whole = 0, length == 0
-        self.started = False
 
     async def _more(self) -> Bytes:
-        self.started = True
         data = await self._read()
         if not data:
             self.whole = True
--- a/winchdyke/standins/record.py
+++ b/winchdyke/standins/record.py
@@ -4,7 +4,6 @@
 
 import json
 import time
-from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
 
@@ -33,8 +32,3 @@
         with path.open("w", encoding="utf-8") as file:
             for entry in self.seen:
                 file.write(json.dumps(entry, separators=(",", ":")) + "\n")
-
-
-def load(lines: Iterable[str]) -> list[Seen]:
-    """Entries from JSON lines, in order of time."""
-    return sorted((json.loads(line) for line in lines if line.strip()), key=lambda entry: entry["t"])
