--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import fcntl
+import functools
 import json
 import random
 import time
+import tracemalloc
 from collections import Counter
 from pathlib import Path
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -15,15 +18,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from rig import played, rig
+from rig import settings as rig_settings
 from test_accounts import account, segment, with_ledger
 
-from winchdyke.accounts import compact, ledger, sums
+from winchdyke import interface as api
+from winchdyke.accounts import compact, ledger, spans, sums
 from winchdyke.accounts.live import Tail, Top
 from winchdyke.accounts.merge import merged
+from winchdyke.accounts.recorder import Recorder
 from winchdyke.accounts.report import summed
 from winchdyke.accounts.spans import Account
 from winchdyke.cli.main import main
+from winchdyke.gateway.engine import Engine
 from winchdyke.model.world import Course, Scene, World, accounts
+from winchdyke.standins.record import clock
 
 
 def many(count: int, minutes: int = 3) -> list[Account]:
@@ -288,3 +296,172 @@
     alone = apart(accounts(done))
     assert apart(merged(accounts(done))) < alone / 3
     assert apart(merged(accounts(done, clocks), 50.0)) < alone / 3
+
+
+def test_a_node_that_is_slow_for_some_and_not_for_others_is_told_by_course(tmp_path):
+    """Half of a node's disks are slow: the report says which courses met it, and leaves the others out."""
+
+    @played
+    async def run():
+        async with rig(with_ledger(tmp_path), unit_ms=4.0) as it:
+            paths = {volume: f"/{volume}/k" for volume in ("school-1", "school-2")}
+            node = it.where(paths["school-1"])
+            keys = [f"/school-2/k{n}" for n in range(100)]
+            paths["school-2"] = next(path for path in keys if it.where(path) is node)
+            for _ in range(3):
+                for path in paths.values():
+                    await it.ask("GET", path)
+            node.slow, node.slow_for = 30.0, "school-1"
+            for _ in range(3):
+                for path in paths.values():
+                    await it.ask("GET", path)
+            it.gateway.ledger.close()
+            seen = next(
+                n for n in summed(ledger.entries([tmp_path])).data()["nodes"] if n["node"] == node.name
+            )
+            assert seen["courses"]["school-1"] > 250.0
+            assert seen["courses"].get("school-2", 0.0) < 60.0
+
+    run()
+
+
+def test_answers_lost_at_a_working_node_are_told_as_such_and_not_as_slowness(tmp_path):
+    @played
+    async def run():
+        async with rig(with_ledger(tmp_path), unit_ms=4.0) as it:
+            node = it.where("/school-1/object")
+            node.lost_share, node.lost_how = 1.0, "reset"
+            assert (await it.ask("GET", "/school-1/object")).status in (502, 503)
+            it.gateway.ledger.close()
+            (one,) = ledger.read([tmp_path])
+            assert (
+                one.nodes == [node.name] * len(one.ends)
+                and set(one.ends) == {"store-reset"}
+                and len(one.ends) >= 2
+            )
+            assert sum(span for _, span in one.spans) == one.latency
+            data = summed([one]).data()
+            assert data["nodes"][0]["ends"] == {"store-reset": len(one.ends)}
+            said = summed([one]).sentence("school-1")
+            assert f"{node.name} lost {len(one.ends)} answers" in said
+
+    run()
+
+
+def test_a_wait_that_spans_a_new_scheduler_and_a_stop_adds_up_and_reaches_the_disk(tmp_path):
+    """The scheduler faults and a new one begins while some wait; then the gateway is stopped with others waiting."""
+
+    @played
+    async def run():
+        async with rig(with_ledger(tmp_path), unit_ms=100.0, cores=1) as it:
+            paths = [
+                path for path in (f"/school-1/k{n}" for n in range(300)) if it.where(path) is it.stores[0]
+            ]
+            async with anyio.create_task_group() as group:
+                for path in paths[:10]:
+                    group.start_soon(it.ask, "PUT", path, b"x")
+                await it.until(lambda: len(it.gateway.engine.observer.held()) > 0)
+                await it.until(lambda: it.gateway.service.active == 10)
+                it.gateway.engine._fault(RuntimeError("on purpose"))
+                for path in paths[10:20]:
+                    group.start_soon(it.ask, "PUT", path, b"x")
+                await it.until(lambda: it.gateway.service.active >= 10 and it.gateway.engine.observer.held())
+                await it.until(lambda: it.gateway.service._count == 20)
+                it.gateway.stop()
+            await it.until(lambda: not it.gateway.ledger._thread.is_alive(), 10.0)
+            found = list(ledger.read([tmp_path]))
+            assert len(found) == 20
+            assert {one.reason for one in found} & {"engine-fault"}
+            for one in found:
+                assert sum(span for _, span in one.spans) == one.latency
+                assert sum(share for *_, share in one.blame) == one.held == sum(one.causes.values())
+
+    run()
+
+
+def test_ten_thousand_waiting_requests_cost_bounded_memory_and_leave_nothing():
+    """On the path that the gateway takes: engine, recorder and shadow, with a node that does not answer."""
+    config = rig_settings()
+    engine = Engine(config.settings(), 1)
+    engine.observe()
+    kept: list[object] = []
+    writer = SimpleNamespace(put=kept.append)
+    recorder = Recorder("g", writer, lambda: engine.observer)  # type: ignore[arg-type]
+    engine.post(api.NodeList(api.ListKind.FULL, (api.Node("n", api.NodeState.READY, 0),)))
+    engine.turn()
+    tickets, courses = [], []
+    for number in range(10_000):
+        name = f"r{number}"
+        request = api.Request(name, "fetch", "school", f"school-{number % 50}", name, 1.0, 0, 1, 3000.0)
+        tickets.append(engine.take(request))
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        for ticket in tickets:
+            course = recorder.begin()
+            course.phase("held")
+            courses.append(course)
+            recorder.hold(ticket.id, 0, "fetch", engine.clock())
+        accounts_only = tracemalloc.get_traced_memory()[0] - before
+        engine.observer.look(engine.clock())
+        waiting = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert waiting / 10_000 < 2000, (
+        f"{accounts_only / 10_000:.0f} and then {waiting / 10_000:.0f} bytes for each that waits"
+    )
+    for ticket, course in zip(tickets, courses, strict=True):
+        recorder.release(course, ticket.id, course.marks[-2], engine.clock())
+        recorder.end(
+            course, request=ticket.id, volume="v", class_name="fetch", key="", units=1.0, outcome="served", reason="ok",
+            status=200, client_request="", deadline_ms=3000.0,
+        )  # fmt: skip
+    observer = engine.observer
+    assert not (observer._groups or observer._waiting or observer._fresh or observer._own or observer._count)
+    assert len(kept) == 10_000
+    assert all(sum(s for *_, s in one.blame) == one.held for one in map(spans.account, kept[:200]))
+
+
+@pytest.mark.parametrize(("count", "spread_s", "class_name"), [(60, 0.0, ""), (60, 0.02, "export")])
+def test_waits_behind_a_burst_and_an_export_stream_are_what_traffic_shows(
+    tmp_path, count, spread_s, class_name
+):
+    """Within 5% (and 3 ms each for the host) of what the clients' and the store's own records say, and put on the course."""
+
+    @played
+    async def run():
+        async with rig(with_ledger(tmp_path), unit_ms=25.0, cores=2) as it:
+            lie = lambda path: it.where(path) is it.stores[0]  # noqa: E731
+            others = list(filter(lie, (f"/contest-9/k{n}" for n in range(2000))))[:count]
+            mine = list(filter(lie, (f"/school-1/k{n}" for n in range(400))))[:10]
+            sent: dict[str, float] = {}
+
+            async def ask(path: str, after_s: float, **headers: str) -> None:
+                peer = await it.connect()
+                await anyio.sleep(after_s)
+                sent[path] = clock()
+                await it.ask("GET", path, peer=peer, x_request_id=path[1:], **headers)
+
+            async with anyio.create_task_group() as group:
+                for number, path in enumerate(others):
+                    headers = {"winchdyke_class": class_name} if class_name else {}
+                    group.start_soon(functools.partial(ask, path, number * spread_s, **headers))
+                for number, path in enumerate(mine):
+                    group.start_soon(ask, path, 0.1 + 0.05 * number)
+            it.gateway.ledger.close()
+            came = {each["client"]: each["t"] for each in reversed(it.record.seen) if each["what"] == "head"}
+            found = [
+                a for a in merged(ledger.read([tmp_path])) if a.volume == "school-1" and len(a.nodes) == 1
+            ]
+            assert len(found) >= 4
+            seen = sum(came[a.client_request] - sent["/" + a.client_request] for a in found)
+            before = ("arriving", "held", "dial", "send")
+            told = sum(span for a in found for phase, span in a.spans if phase in before) / 1e6
+            assert told == pytest.approx(seen, rel=0.05, abs=3.0 * len(found))
+            blame = Counter()
+            for account in found:
+                for _, name, _, share in account.blame:
+                    blame[name] += share
+            assert blame.most_common(1)[0][0] == "contest-9"
+
+    run()
--- a/winchdyke/accounts/report.py
+++ b/winchdyke/accounts/report.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from winchdyke.accounts.spans import Account, Holder
-from winchdyke.accounts.sums import FOLDED, SLOW_EVIDENCE, Sums, histogram
+from winchdyke.accounts.sums import FOLDED, NO_ANSWER, SLOW_EVIDENCE, Sums, histogram
 
 WORST = 10
 PAIRS_MOST = 2000  # cells of the matrix that are kept; what falls out is added up as "others"
@@ -39,6 +39,8 @@
     excess: int = 0
     latency: Any = field(default_factory=histogram)
     volumes: Counter[str] = field(default_factory=Counter)
+    ends: Counter[str] = field(default_factory=Counter)
+    lost: Counter[str] = field(default_factory=Counter)  # attempts of each volume with no answer
 
 
 class Summary:
@@ -80,8 +82,12 @@
         for kind, name, what, share in account.blame:
             self.matrix[account.volume, (kind, name, what)] += share
             self.minutes[int(account.began_unix_ms // 60_000)][account.volume] += share
-        for node, out, usual in zip(account.nodes, account.store, account.usual, strict=True):
+        for node, how, out, usual in zip(
+            account.nodes, account.ends, account.store, account.usual, strict=True
+        ):
             self._node(node, out, usual, account.volume)
+            self.nodes[node].ends[how] += 1
+            self.nodes[node].lost[account.volume] += how in NO_ANSWER
         if account.first:
             self.firsts[account.first] += 1
         elif account.client_request and account.outcome != "served":
@@ -124,6 +130,8 @@
             node.excess += seen.excess
             node.latency.decode_and_add(seen.latency.histogram)
             node.volumes.update(seen.volumes)
+            node.ends.update(seen.ends)
+            node.lost.update(seen.lost)
         for volume, kind, name, what, share in sums.matrix:
             self.matrix[volume, (kind, name, what)] += share
             self.minutes[sums.minute][volume] += share
@@ -186,6 +194,11 @@
             for name, node in sorted(self.nodes.items(), key=lambda entry: -entry[1].volumes[volume])[:2]
             if node.volumes[volume] > 0
         ]
+        slow += [
+            f"{name} lost {node.lost[volume]} answers"
+            for name, node in sorted(self.nodes.items(), key=lambda entry: -entry[1].lost[volume])[:2]
+            if node.lost[volume] > 0
+        ]
         tail = f"; of the holding {', '.join(parts)}" if parts else ""
         return head + tail + (f"; {' and '.join(slow)}" if slow else "") + "."
 
@@ -215,7 +228,8 @@
             "courses": [self._course(name) for name in chosen],
             "nodes": [
                 {
-                    "node": name, "attempts": node.attempts, "slow": node.slow, "excess_ms": node.excess / 1e6,
+                    "node": name, "attempts": node.attempts, "ends": dict(node.ends),
+                    "slow": node.slow, "excess_ms": node.excess / 1e6,
                     "p50_ms": node.latency.get_value_at_percentile(50) / 1000,
                     "p99_ms": node.latency.get_value_at_percentile(99) / 1000,
                     "usual_ms": node.usual / max(1, node.attempts) / 1e6,
--- a/winchdyke/accounts/sums.py
+++ b/winchdyke/accounts/sums.py
@@ -23,6 +23,7 @@
 WORST = 3  # accounts of a minute that are kept whole: its slowest
 OTHERS = "(others)"  # volumes without figures of their own
 FOLDED: Holder = ("others", "folded", "")
+NO_ANSWER = frozenset({"store-reset", "timed-out"})  # ends of attempts that may have run, with no answer
 SLOW_EVIDENCE = 1.5  # times the usual from which on a node's attempts are evidence
 
 
@@ -59,6 +60,8 @@
     usual: int
     excess: int
     volumes: dict[str, int]
+    ends: dict[str, int]  # attempts by how they ended
+    lost: dict[str, int]  # attempts with no answer, by volume; the eight with the most
 
 
 class Sums(msgspec.Struct, array_like=True, tag=3):
@@ -97,7 +100,7 @@
         self.classes: defaultdict[str, list[int]] = defaultdict(list)
         self.helds: Counter[str] = Counter()
         self.counts: defaultdict[tuple[str, str], Counter[str]] = defaultdict(Counter)
-        self.nodes: defaultdict[str, list[tuple[int, int, str]]] = defaultdict(list)
+        self.nodes: defaultdict[str, list[tuple[int, int, str, str]]] = defaultdict(list)
         self.worst: list[tuple[int, str, Account]] = []
 
     def add(self, account: Account) -> None:
@@ -114,8 +117,10 @@
         self.counts[volume, "causes"].update(account.causes)
         for kind, name, what, share in account.blame:
             self.matrix[volume, (kind, name, what)] += share
-        for node, out, usual in zip(account.nodes, account.store, account.usual, strict=True):
-            self.nodes[node].append((out, usual, volume))
+        for node, how, out, usual in zip(
+            account.nodes, account.ends, account.store, account.usual, strict=True
+        ):
+            self.nodes[node].append((out, usual, volume, how))
         entry = (account.latency, account.request, account)
         (heapq.heappush if len(self.worst) < WORST else heapq.heappushpop)(self.worst, entry)
 
@@ -155,16 +160,19 @@
         return VolumeSum(volume, _latencies(self.latencies[volume]), held, outcomes, phases, causes)
 
 
-def _node(name: str, seen: list[tuple[int, int, str]]) -> NodeSum:
+def _node(name: str, seen: list[tuple[int, int, str, str]]) -> NodeSum:
     volumes: Counter[str] = Counter()
     slow = 0
-    for out, usual, volume in seen:
+    for out, usual, volume, _ in seen:
         if usual and out > SLOW_EVIDENCE * usual:
             slow += 1
             volumes[volume] += out - usual
-    usual = sum(usual for _, usual, _ in seen)
-    latency = _latencies([out for out, _, _ in seen])
-    return NodeSum(name, latency, slow, usual, sum(volumes.values()), dict(volumes.most_common(8)))
+    usual = sum(usual for _, usual, _, _ in seen)
+    latency = _latencies([out for out, *_ in seen])
+    ends = Counter(how for *_, how in seen)
+    lost = Counter(volume for *_, volume, how in seen if how in NO_ANSWER)
+    slowest, losers = dict(volumes.most_common(8)), dict(lost.most_common(8))
+    return NodeSum(name, latency, slow, usual, sum(volumes.values()), slowest, dict(ends), losers)
 
 
 def summed_up(accounts: Iterable[Account]) -> list[Sums]:
--- a/winchdyke/cli/waits.py
+++ b/winchdyke/cli/waits.py
@@ -42,8 +42,6 @@
 
     found = ledger.Recovered()
     try:
-        if len(ledgers) == 1:
-            return summed(ledger.entries(ledgers, found), _when(since), _when(until), node), found.losses
         # Two passes, so that no more than sums is held: who was at each node, then whom each wait was for.
         crowd = Crowd(off_ms)
         for each in ledger.read(ledgers):
--- a/winchdyke/model/world.py
+++ b/winchdyke/model/world.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import itertools
 import random
@@ -15,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from winchdyke import interface as api
+from winchdyke.accounts.merge import merged
 from winchdyke.accounts.spans import Account, Holder, apportion
 from winchdyke.accounts.why import USUAL_SLACK, Observer
 from winchdyke.policy import NodeView, Scheduler
@@ -141,18 +143,23 @@
 class World:
     """One run of a scene."""
 
-    def __init__(self, scene: Scene, without: frozenset[str] = frozenset(), seeing: bool = False) -> None:
+    def __init__(
+        self,
+        scene: Scene,
+        without: frozenset[str] = frozenset(),
+        seeing: bool = False,
+        given: api.Settings | None = None,
+    ) -> None:
         self.scene = scene
         self._heap: list[tuple[float, int, str, tuple[object, ...]]] = []
         self._order = itertools.count()
         self.done: dict[str, Done] = {}
-        settings = [
-            api.Settings(
-                gateways=scene.gateways, index=index, classes=CLASSES, plans=PLANS, mean_units=2.0, largest_units=8.0,
-                fair_worth=0.3, idle_worth=0.08, max_attempts=3, max_retry_after_ms=500.0,
-            )
-            for index in range(scene.gateways)
-        ]  # fmt: skip
+        given = given or api.Settings(
+            gateways=scene.gateways, index=0, classes=CLASSES, plans=PLANS, mean_units=2.0, largest_units=8.0,
+            fair_worth=0.3, idle_worth=0.08, max_attempts=3, max_retry_after_ms=500.0,
+        )  # fmt: skip
+        self.deadlines = {kind.name: kind.deadline_ms for kind in given.classes}
+        settings = [dataclasses.replace(given, index=index) for index in range(scene.gateways)]
         self.schedulers = [Scheduler(each, scene.seed * 1000 + each.index, 0.0) for each in settings]
         self.observers = [Observer(scheduler) for scheduler in self.schedulers]
         self.seers = [Seeing(self, index) for index in range(scene.gateways)] if seeing else []
@@ -179,10 +186,18 @@
             number += 1
             request = api.Request(
                 f"{course.name}-{number}", course.class_name, course.plan, course.name, f"k{number}", course.units,
-                draw.choice(course.shards), len(course.gateways), next(k.deadline_ms for k in CLASSES if k.name == course.class_name),
+                draw.choice(course.shards), len(course.gateways), self.deadlines[course.class_name],
             )  # fmt: skip
             self._at(now, "arrive", draw.choice(course.gateways), request)
 
+    def arrivals(self) -> list[tuple[float, api.Request]]:
+        """All requests that will come, in order: when, and what."""
+        found = [(at, what[1]) for at, _, kind, what in self._heap if kind == "arrive"]
+        return sorted(
+            ((at, request) for at, request in found if isinstance(request, api.Request)),
+            key=lambda each: each[0],
+        )
+
     def run(self) -> list[Done]:
         """Play it to its end: every request, in order of coming."""
         while self._heap:
@@ -199,8 +214,7 @@
             elif kind == "timer":
                 gateway, tag = what
                 assert isinstance(gateway, int) and isinstance(tag, int)
-                if tag or self._open:
-                    self._give(now, gateway, [api.TimerFired(tag)])
+                self._give(now, gateway, [api.TimerFired(tag)])
             elif kind == "work":
                 self._work(now, *what)  # type: ignore[arg-type]
             elif kind == "worked":
@@ -329,7 +343,10 @@
 def counterfactual(scene: Scene, waiter: str, blamed: str) -> Check:
     """How much of a course's wait is put on another, and by how much it falls where that one never came."""
     whole, less = play(scene), play(scene, frozenset({blamed}))
-    mine = [done for done in whole if done.course == waiter]
-    put = sum(v for done in mine for holder, v in done.blame.items() if holder[:2] == ("volume", blamed))
-    held = sum(done.held for done in mine)
-    return Check(put, held - sum(done.held for done in less if done.course == waiter), held)
+    told = [account for account in merged(accounts(whole)) if account.volume == waiter]
+    put = sum(
+        share for account in told for *holder, share in account.blame if holder[:2] == ["volume", blamed]
+    )
+    held = sum(account.held for account in told)
+    rest = sum(done.held for done in less if done.course == waiter)
+    return Check(put / 1e6, held / 1e6 - rest, held / 1e6)
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -142,6 +142,7 @@
         self.random = random.Random(seed)
         self.port, self.started_unix_ms, self.cold = 0, 0.0, False
         self.slow, self.lost_share, self.lost_how = 1.0, 0.0, "silence"
+        self.slow_for = ""  # only volumes whose names begin so are served slowly
         self.silent = self.draining = self.fallen = False
         self.paused_until = 0.0
         self.tricks: deque[str] = deque()
@@ -347,7 +348,8 @@
         self._waiting -= 1
         self.record.note(self.name, "run", **asked.told())
         power = self.power() / self.spec.power
-        await anyio.sleep(asked.units * self.spec.unit_ms / self.spec.speed / power * self.slow / 1000)
+        slow = self.slow if asked.volume.startswith(self.slow_for) else 1.0
+        await anyio.sleep(asked.units * self.spec.unit_ms / self.spec.speed / power * slow / 1000)
         while clock() < self.paused_until:
             await anyio.sleep(0.005)
         if trick == "error":
