Membership believed by its age: a list on the disk, several sources, and stores that say who they are

A gateway that started while discovery was down knew nothing and was lost. Now it takes up the list it kept: tries the nodes one at a time, the one confirmed last first, uses what answers under the identity that is expected of it, and counts as cold what is not known to be warm. A first connection to a node asks who is there, so another store at an old address is sent nothing; a node's own word on a drain is heard and kept on the disk. A list that loses most of its nodes, or whose versions go back, takes nothing away while the nodes answer. A watched file and DNS SRV stand in, in that order, where the list service is down.

--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -84,6 +84,12 @@
     must_ask: bool
     wait: float
     timeout: float
+    keep: str = ""
+    file: str = ""
+    srv: str = ""
+    dns: str = ""
+    vanish_share: float = 0.5
+    hold: float = 300_000.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -91,6 +91,22 @@
             "discovery": Key(t.OneOf(allowed=("pushed", "asked")), "pushed", "Whether changes come unasked."),
             "wait": _time("10s", "How long a call for news may wait at the service.", 100 * MS, 120 * S),
             "timeout": _time("2s", "How long a call may take beyond that.", 50 * MS, 30 * S, zero=False),
+            "keep": Key(
+                t.Type(), '""', "A folder of its own where the list is kept for a start without discovery."
+            ),
+            "file": Key(
+                t.Type(), '""', "A file with a list, watched; it counts where the list service fails."
+            ),
+            "srv": Key(
+                t.Type(), '""', "A DNS name whose SRV records are the list (SHARD.NAME); it counts last."
+            ),
+            "dns": Key(t.Type(), '"127.0.0.1:53"', "The DNS server asked for them, as ADDRESS:PORT."),
+            "vanish_share": Key(
+                t.Share(), "50%", "Of the nodes that a list may leave out at once before it is doubted."
+            ),
+            "hold": _time(
+                "5m", "How long such a list is doubted while those nodes answer.", S, 24 * 3600 * S
+            ),
         },
         needed=True,
     ),
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -19,10 +19,14 @@
 from winchdyke.config import Config
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.gateway.engine import Engine
-from winchdyke.gateway.pool import NO_DESCRIPTORS, Pool
+from winchdyke.gateway.pool import NO_DESCRIPTORS, Connection, DialError, Pool
 from winchdyke.gateway.service import Service
-from winchdyke.nodes.follow import Follower
-from winchdyke.objects import answers
+from winchdyke.http1 import End, Need
+from winchdyke.nodes.belief import Bounds as Belief
+from winchdyke.nodes.belief import Word
+from winchdyke.nodes.membership import Membership
+from winchdyke.nodes.sources import FileSource, HttpSource, Source, SrvSource
+from winchdyke.objects import answers, storewire
 
 ACCEPT_PAUSE_S = 0.05  # before the next accept where no descriptor is left
 STOP_SLACK_S = 1.0  # beyond the longest deadline, for what is still out at a stop
@@ -49,8 +53,10 @@
             self.engine.observe()
             recorder = Recorder(config.gateway.name, self.ledger, lambda: self.engine.observer)
         self.service = Service(config, self.engine, self.pool, self.engine.clock, recorder)
-        self.follower = Follower(config.nodes, config.gateway.name, self.engine.clock, self._listed)
-        self.engine.watch = self.follower.ask
+        self.membership = self._membership()
+        self.engine.watch = self.membership.ask
+        self.pool.greet = self._greet
+        self.service.on_word, self.service.on_refused = self.membership.heard, self.membership.refused
         self.address = ("", 0)
         self.addresses: list[tuple[str, int]] = []
         self._connections: set[ClientConnection] = set()
@@ -75,6 +81,43 @@
                 f"can't write to {accounts.folder}: {error.strerror}; see accounts, folder"
             ) from error
 
+    def _membership(self) -> Membership:
+        where, name, clock = self.config.nodes, self.config.gateway.name, self.engine.clock
+        sources: list[Source] = [HttpSource(where, name, clock)]
+        if where.file:
+            sources.append(FileSource(Path(where.file), clock))
+        if where.srv:
+            shards = 1 + max((shard for rule in self.config.volumes for shard in rule.shards), default=0)
+            host, _, port = where.dns.rpartition(":")
+            sources.append(SrvSource(where.srv, (host, int(port)), shards))
+        bounds = Belief(
+            warm_after=self.config.rules.warm_after, vanish_share=where.vanish_share, hold=where.hold
+        )
+        folder = Path(where.keep) if where.keep else None
+        return Membership(bounds, sources, name, clock, self._listed, self._trial, folder)
+
+    async def _greet(self, connection: Connection) -> None:
+        """Ask a store who it is before it is sent anything; DialError where another one is meant."""
+        codec = connection.codec
+        headers = [(b"host", b"store"), (storewire.GATEWAY, self.config.gateway.name.encode())]
+        await connection.stream.send(codec.request("GET", storewire.WHO, headers) + codec.end())
+        while isinstance(head := codec.head(), Need):
+            codec.feed(await connection.stream.receive())
+        while not isinstance(piece := codec.body(), End):
+            if isinstance(piece, Need):
+                codec.feed(await connection.stream.receive())
+        if not self.membership.heard(connection.node, storewire.told(head).word or Word()):
+            raise DialError(f"{connection.node}: not the store that is meant, or it drains", False)
+
+    async def _trial(self, node: str) -> bool:
+        try:
+            connection = await self.pool.get(node)
+        except DialError:
+            self.membership.refused(node)
+            return False
+        await self.pool.put(connection)
+        return True
+
     async def _listed(self, news: api.NodeList) -> None:
         self.engine.post(news)
         if news.kind is api.ListKind.FULL:
@@ -94,7 +137,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.engine.run)
             self.engine.post(api.NodeList(api.ListKind.CACHED))
-            group.start_soon(self.follower.run)
+            group.start_soon(self.membership.run)
             group.start_soon(self._sweep)
             accepting: list[anyio.CancelScope] = []
             for listener in listeners:
--- a/winchdyke/gateway/pool.py
+++ b/winchdyke/gateway/pool.py
@@ -5,15 +5,16 @@
 import errno
 import select
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from winchdyke.http1 import ClientSide
+from winchdyke.http1 import ClientSide, ProtocolError
 
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 ANSWER_HEAD = 64 * 1024
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
 class DialError(Exception):
@@ -27,20 +28,28 @@
 class Connection:
     """One connection to a store."""
 
-    __slots__ = ("_poll", "codec", "node", "stream", "used", "used_at")
+    __slots__ = ("_poll", "codec", "node", "on_close", "stream", "used", "used_at")
 
     def __init__(self, node: str, stream: SocketStream) -> None:
         self.node, self.stream, self.codec = node, stream, ClientSide(ANSWER_HEAD)
         self.used, self.used_at = 0, 0.0
         self._poll = select.poll()
-        self._poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
+        self._poll.register(
+            stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN | select.POLLRDHUP
+        )
+        self.on_close: Callable[[Connection], None] = lambda _: None
 
     def stale(self) -> bool:
         """Whether the store closed it, or said something unasked, while it was idle."""
         return bool(self._poll.poll(0))
 
+    def ended(self) -> bool:
+        """Whether the store's side has ended, whatever else it has said."""
+        return any(event & ENDED for _, event in self._poll.poll(0))
+
     async def close(self) -> None:
         """Close at once, whatever is under way."""
+        self.on_close(self)
         await anyio.aclose_forcefully(self.stream)
 
 
@@ -62,6 +71,8 @@
     def __init__(self, connect_ms: float, idle_ms: float, per_node: int, clock: Callable[[], float]) -> None:
         self.connect_ms, self.idle_ms, self.per_node, self._clock = connect_ms, idle_ms, per_node, clock
         self._idle: defaultdict[str, deque[Connection]] = defaultdict(deque)
+        self._open: defaultdict[str, set[Connection]] = defaultdict(set)
+        self.greet: Callable[[Connection], Awaitable[None]] | None = None
         self.dialled = self.reused = 0
 
     def __str__(self) -> str:
@@ -85,7 +96,34 @@
             own = bool(_errnos(error).intersection(NO_DESCRIPTORS))
             raise DialError(f"{node}: {error}", own) from error
         self.dialled += 1
-        return Connection(node, stream)
+        connection = Connection(node, stream)
+        # Guards against an address that another store has taken, whatever the list says: nothing of one process
+        # is left open once another answers there, so only the first connection must ask. It costs that one a
+        # round trip; it would miss a host that went without a word and came back with its connections kept.
+        if self.greet is not None and all(other.ended() for other in self._open[node]):
+            await self._greeted(connection)
+        self._open[node].add(connection)
+        connection.on_close = self._closed
+        return connection
+
+    def _closed(self, connection: Connection) -> None:
+        self._open[connection.node].discard(connection)
+
+    async def _greeted(self, connection: Connection) -> None:
+        assert self.greet is not None
+        try:
+            with anyio.fail_after(self.connect_ms / 1000):
+                await self.greet(connection)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, ProtocolError) as error:
+            await connection.close()
+            raise DialError(f"{connection.node}: {error or 'no answer to who it is'}", False) from error
+        except BaseException:
+            await connection.close()
+            raise
+        if not connection.codec.reusable:
+            await connection.close()
+            raise DialError(f"{connection.node}: closes after it said who it is", False)
+        connection.codec.next_cycle()
 
     async def put(self, connection: Connection) -> None:
         """Keep a connection whose exchange is over; it is closed where it can't serve again."""
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -24,6 +24,7 @@
 from winchdyke.gateway.engine import Engine, Ticket
 from winchdyke.gateway.pool import Pool
 from winchdyke.http1 import AnswerHead, Bytes, Headers, ProtocolError, RequestHead
+from winchdyke.nodes.belief import Word
 from winchdyke.objects import answers, listing, ranges, routes, storewire
 from winchdyke.objects.answers import RequestError
 
@@ -84,6 +85,8 @@
         recorder: Recorder | None = None,
     ) -> None:
         self.recorder = recorder
+        self.on_word: Callable[[str, Word], bool] = lambda *_: True
+        self.on_refused: Callable[[str], None] = lambda _: None
         self.config, self.engine, self.pool, self.clock = config, engine, pool, clock
         self.bodies = BodyStore(config.limits.body_total, config.limits.body_memory)
         self.stopping = False
@@ -441,6 +444,10 @@
                 raise
             finally:
                 ticket.on_cancel = None
+        if ended.told.word is not None:
+            self.on_word(send.node, ended.told.word)
+        elif ended.outcome is api.Outcome.DIAL_FAILED:
+            self.on_refused(send.node)
         self._tell(ticket, number, send.node, ended)
         return ended
 
--- a/winchdyke/model/membership.py
+++ b/winchdyke/model/membership.py
@@ -69,7 +69,7 @@
     def __init__(
         self, gateways: int = 2, nodes: int = 2, faults: int = 2, kind: type[Belief] = Belief
     ) -> None:
-        self.kind, self.faults, self.now = kind, faults, 100 * WARM
+        self.kind, self.faults, self.greets, self.now = kind, faults, greets, 100 * WARM
         self.nodes = [Machine() for _ in range(nodes)]
         self.list = [Told(NodeState.READY, 0, 0.0) for _ in range(nodes)]
         self.version = 2
@@ -177,7 +177,7 @@
         if not node.up:
             gateway.belief.refused(f"n{n}:1", self.now)
             return False
-        fits = self._hear(g, n)
+        fits = not self.greets or self._hear(g, n)
         if fits:
             gateway.open[n] = node.identity, node.boot
         return fits
--- a/winchdyke/nodes/belief.py
+++ b/winchdyke/nodes/belief.py
@@ -139,8 +139,9 @@
         unix: float = 0.0,
         whole: bool = True,
         version: int = 0,
+        old: bool = False,
     ) -> None:
-        """A source told its list, or what changed in it."""
+        """A source told its list, or what changed in it; ``old``: it says itself that this is a copy of old."""
         source = self.sources[name]
         entries = list(entries)
         back = 0 < version < source.version
@@ -160,7 +161,7 @@
         source.entries.update({entry.name: entry for entry in entries})
         source.told = source.healthy = True
         if self._authority() is source:
-            self._believe(source, entries if not whole else None, now, unix, back)
+            self._believe(source, entries if not whole else None, now, unix, back or old)
         for entry in entries:  # a drain counts whoever tells it
             if entry.state is NodeState.DRAINING and entry.name in self.known:
                 self._drain(self.known[entry.name], f"drains, by {name}", now)
@@ -178,7 +179,7 @@
         """A node answered. Whether it is the one that is meant: else nothing may be sent there."""
         known = self.known.get(name)
         if known is None:
-            return False
+            return True
         if known.identity and word.identity and word.identity != known.identity:
             if known.state is not State.REUSED:
                 self._note(f"{name}: {word.identity} answers where {known.identity} was; it is sent nothing")
--- a/winchdyke/nodes/wire.py
+++ b/winchdyke/nodes/wire.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import Literal, NamedTuple
 
 import msgspec
 
 from winchdyke import interface as api
+from winchdyke.nodes.belief import Entry
 
 STATES = {"ready": api.NodeState.READY, "draining": api.NodeState.DRAINING, "gone": api.NodeState.GONE}
 FORMS = {"full": api.ListKind.FULL, "changes": api.ListKind.CHANGES, "cached": api.ListKind.CACHED}
@@ -16,7 +17,7 @@
     """An answer of the list service that can't be used; says what is wrong."""
 
 
-class Entry(msgspec.Struct):
+class Listed(msgspec.Struct):
     """One node; ``started_unix_ms`` is absent where it has been up for long."""
 
     name: str
@@ -24,6 +25,7 @@
     shard: int
     zone: str = ""
     started_unix_ms: float = 0.0
+    identity: str = ""
 
 
 class Listing(msgspec.Struct):
@@ -31,7 +33,17 @@
 
     token: str
     form: Literal["full", "changes", "cached"]
-    nodes: list[Entry]
+    nodes: list[Listed]
+    version: int = 0  # grows with every change; 0 where the service keeps none
+
+
+class Heard(NamedTuple):
+    """What a source told: the token for the next call, the form, the entries, and the list's version."""
+
+    token: str
+    kind: api.ListKind
+    entries: tuple[Entry, ...]
+    version: int
 
 
 class Reader:
@@ -44,8 +56,8 @@
     def __init__(self) -> None:
         self._started: dict[tuple[str, float], float] = {}
 
-    def read(self, data: bytes, now_ms: float, unix_ms: float) -> tuple[str, api.NodeList]:
-        """The token for the next call, and the event. ListError where the bytes are no listing."""
+    def read(self, data: bytes, now_ms: float, unix_ms: float) -> Heard:
+        """What a listing tells. ListError where the bytes are no listing."""
         try:
             listing = msgspec.json.decode(data, type=Listing)
         except msgspec.DecodeError as error:
@@ -61,12 +73,12 @@
         if listing.form != "changes":
             kept = {(entry.name, entry.started_unix_ms) for entry in listing.nodes}
             self._started = {key: at for key, at in self._started.items() if key in kept}
-        return listing.token, api.NodeList(FORMS[listing.form], nodes)
+        return Heard(listing.token, FORMS[listing.form], nodes, listing.version)
 
-    def _node(self, entry: Entry, now_ms: float, unix_ms: float) -> api.Node:
+    def _node(self, entry: Listed, now_ms: float, unix_ms: float) -> Entry:
         started = 0.0
         if entry.started_unix_ms > 0:
             # A start in the future is a clock that is off: it counts as now.
             at = min(now_ms, now_ms - (unix_ms - entry.started_unix_ms))
             started = self._started.setdefault((entry.name, entry.started_unix_ms), max(at, 1e-3))
-        return api.Node(entry.name, STATES[entry.state], entry.shard, entry.zone, started)
+        return Entry(entry.name, STATES[entry.state], entry.shard, entry.zone, started, entry.identity)
--- a/winchdyke/objects/storewire.py
+++ b/winchdyke/objects/storewire.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from winchdyke.http1 import AnswerHead, Headers
+from winchdyke.nodes.belief import Word
 
 REQUEST, ATTEMPT, GATEWAY = b"winchdyke-request", b"winchdyke-attempt", b"winchdyke-gateway"
 CLASS, UNITS, SHARD = b"winchdyke-class", b"winchdyke-units", b"winchdyke-shard"
@@ -13,6 +14,10 @@
 NOT_RUN, USED, OTHERS, LOAD = (
     b"winchdyke-not-run", b"winchdyke-used-percent", b"winchdyke-from-others", b"winchdyke-load",
 )  # fmt: skip
+STORE, BOOT, UP, DRAINING = (
+    b"winchdyke-store", b"winchdyke-boot", b"winchdyke-up-ms", b"winchdyke-draining",
+)  # fmt: skip
+WHO = b"/-/store"  # what a store answers with its word on itself, and does no work for
 HOP = {
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te", b"trailer",
     b"transfer-encoding", b"upgrade",
@@ -26,6 +31,7 @@
     used_percent: float | None = None
     from_others: float = 0.0
     load: tuple[float, ...] = ()
+    word: Word | None = None  # what it says of itself, where it does
 
 
 def _number(text: str) -> float | None:
@@ -40,6 +46,7 @@
     """The report in an answer's head; what can't be read counts as not told."""
     used = others = None
     load: tuple[float, ...] = ()
+    said: dict[bytes, str] = {}
     for name, value in head.headers:
         if name == USED:
             used = _number(value.decode("latin-1"))
@@ -48,7 +55,13 @@
         elif name == LOAD:
             parts = [_number(part) for part in value.decode("latin-1").split(",")]
             load = tuple(part for part in parts if part is not None) if None not in parts else ()
-    return Told(used, others or 0.0, load)
+        elif name in (STORE, BOOT, UP, DRAINING):
+            said[name] = value.decode("latin-1")[:200]
+    word = None
+    if said:
+        up = _number(said[UP]) if UP in said else None
+        word = Word(said.get(STORE, ""), said.get(BOOT, ""), up, said.get(DRAINING) == "1")
+    return Told(used, others or 0.0, load, word)
 
 
 def never_ran(head: AnswerHead) -> bool:
--- a/winchdyke/standins/nodelist.py
+++ b/winchdyke/standins/nodelist.py
@@ -49,13 +49,16 @@
             self._scope.cancel()
             self._scope = None
 
-    async def set(self, name: str, state: str, shard: int, zone: str, started_unix_ms: float = 0.0) -> None:
+    async def set(
+        self, name: str, state: str, shard: int, zone: str, started_unix_ms: float = 0.0, identity: str = ""
+    ) -> None:
         """Change an entry, seen after ``late_ms``; ``gone`` removes it from whole lists."""
         if self.late_ms:
             await anyio.sleep(self.late_ms / 1000)
         self._version += 1
         self._entries[name] = {
             "name": name, "state": state, "shard": shard, "zone": zone, "started_unix_ms": started_unix_ms,
+            "identity": identity,
         }  # fmt: skip
         self._changes.append((self._version, name))
         self._news.set()
@@ -101,7 +104,12 @@
         else:
             names = dict.fromkeys(name for at, name in self._changes if at > known)
             form, nodes = "changes", [dict(self._entries[name]) for name in names]
-        body = {"token": f"{self._epoch}:{version_told}", "form": form, "nodes": nodes}
+        body = {
+            "token": f"{self._epoch}:{version_told}",
+            "form": form,
+            "nodes": nodes,
+            "version": version_told,
+        }
         await self._say(peer, 200, json.dumps(body).encode())
         states = {entry["name"]: entry["state"] for entry in nodes}
         starts = {entry["name"]: entry["started_unix_ms"] for entry in nodes}
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import random
+import uuid
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,6 +21,7 @@
 from winchdyke.standins.record import Record, clock
 from winchdyke.standins.wire import Peer, accept_all, listen, port_of
 
+LONG_MS = 3_600_000.0  # up for, where its start was not cold
 TRICKS = (
     "die-on-accept", "die-mid-request", "die-after-run", "die-mid-head", "die-mid-answer", "short-answer",
     "long-answer", "trickle", "no-http", "shed", "error", "silence", "reset-after-run", "wrong-range",
@@ -144,7 +146,8 @@
         self.slow, self.lost_share, self.lost_how = 1.0, 0.0, "silence"
         self.slow_for = ""  # only volumes whose names begin so are served slowly
         self.silent = self.draining = self.fallen = False
-        self.paused_until = 0.0
+        self.identity, self.boot, self.tells = f"store-{spec.shard}-{seed}", "", True
+        self.paused_until = self._since = 0.0
         self.tricks: deque[str] = deque()
         self._born = -1e18
         self._scope: anyio.CancelScope | None = None
@@ -168,6 +171,7 @@
         listener = await listen(self.port)
         self.port = port_of(listener)
         self.cold, self._born = cold, clock() if cold else -1e18
+        self.boot, self._since = uuid.uuid4().hex[:12], clock()
         self.silent = self.draining = self.fallen = False
         self.slow, self.lost_share, self.paused_until = 1.0, 0.0, 0.0
         self._waiting = self._running = 0
@@ -226,6 +230,9 @@
             if not isinstance(event, h11.Request):
                 return
             asked = Asked(event)
+            if event.target == b"/-/store" and not (self.silent or self.fallen):
+                await self._who(peer, asked)
+                continue
             if self.silent or self.fallen:
                 self.record.note(self.name, "unheard", **asked.told())
                 await anyio.sleep_forever()
@@ -240,6 +247,27 @@
             if trick == "close-idle":
                 return
 
+    async def _who(self, peer: Peer, asked: Asked) -> None:
+        """Say who it is; no work is done for it, and no trick used."""
+        while not isinstance(await peer.event(), h11.EndOfMessage):
+            pass
+        self.record.note(self.name, "who", gateway=asked.gateway)
+        headers = [("content-length", "0"), *self._self()]
+        await peer.send(h11.Response(status_code=204, headers=headers), h11.EndOfMessage())
+        peer.h11.start_next_cycle()
+
+    def _self(self) -> list[tuple[str, str]]:
+        """What every answer tells of the store: identity, start, age, whether it drains."""
+        if not self.tells:
+            return []
+        up = clock() - self._born if self.cold else clock() - self._since + LONG_MS
+        said = [
+            ("winchdyke-store", self.identity),
+            ("winchdyke-boot", self.boot),
+            ("winchdyke-up-ms", f"{up:.0f}"),
+        ]
+        return said + ([("winchdyke-draining", "1")] if self.draining else [])
+
     async def _body(self, peer: Peer, asked: Asked, trick: str) -> bool:
         if peer.h11.they_are_waiting_for_100_continue:
             await peer.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -268,7 +296,12 @@
         job = self._admit(asked, trick)
         if job is None:
             self.record.note(self.name, "shed", **asked.told())
-            headers = [("winchdyke-not-run", "1"), ("content-length", "0"), *self._report(asked)]
+            headers = [
+                ("winchdyke-not-run", "1"),
+                ("content-length", "0"),
+                *self._self(),
+                *self._report(asked),
+            ]
             await peer.send(h11.Response(status_code=503, headers=headers), h11.EndOfMessage())
             return early
         await job.done.wait()
@@ -285,7 +318,7 @@
                 await anyio.sleep_forever()
             await peer.reset()
             return True
-        headers = [*job.headers, *self._report(asked)]
+        headers = [*job.headers, *self._self(), *self._report(asked)]
         body = job.body
         if trick == "wrong-range":
             headers = [(name, "bytes 0-0/1" if name == "content-range" else value) for name, value in headers]
