--- a/winchdyke/model/membership.py
+++ b/winchdyke/model/membership.py
@@ -67,7 +67,12 @@
     """One state of the world."""
 
     def __init__(
-        self, gateways: int = 2, nodes: int = 2, faults: int = 2, kind: type[Belief] = Belief
+        self,
+        gateways: int = 2,
+        nodes: int = 2,
+        faults: int = 2,
+        kind: type[Belief] = Belief,
+        greets: bool = True,
     ) -> None:
         self.kind, self.faults, self.greets, self.now = kind, faults, greets, 100 * WARM
         self.nodes = [Machine() for _ in range(nodes)]
