--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -520,3 +520,14 @@
 
     run()
     assert os.listdir(tmp_path) == ["file"]
+
+
+def test_a_short_blind_day_keeps_all_seven_rules():
+    """Discovery is down while gateways start anew, stores drain by their own word, and an address is reused."""
+    from winchdyke.days import script
+    from winchdyke.days.run import run_day
+
+    verdict, seen, ends = run_day(script.blind_day(3, length=9_000.0))
+    assert verdict.kept and ends == [0, 0, 0], [r.broken[:2] for r in verdict.rulings]
+    assert any(each["what"] == "up" and each.get("stranger") for each in seen)
+    assert sum(each["what"] == "said" and each["drains"] for each in seen) > 0
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -139,6 +139,10 @@
             await self._on_and_off(event, stores, draw)
         elif event.kind == "gateway-kill":
             await self._kill_gateway(event.on[0] % self.day.gateways, span)
+        elif event.kind == "own-drain":
+            await self._drained_in_place(stores, span)
+        elif event.kind == "reuse":
+            await self._reused(stores[0], span)
         elif event.kind == "list-down":
             self.list.failing = event.how or "error"
             await anyio.sleep(span)
@@ -187,6 +191,30 @@
                 )
             await anyio.sleep(gap)
 
+    async def _drained_in_place(self, stores: list[Store], span: float) -> None:
+        """Each says itself that it drains, ends, and starts anew at its address, cold."""
+        for store in stores:
+            store.draining = True
+            await anyio.sleep(span / len(stores))
+            store.kill()
+            await anyio.sleep(0.05)
+            await self._restart(store)
+
+    async def _reused(self, old: Store, span: float) -> None:
+        """Another store takes an address for a while; the one that was there goes on at a new one."""
+        old.kill()
+        other = self._store(old.spec.shard, Shelf(), 900 + old.spec.shard)
+        other.port, other.stranger = old.port, True
+        await other.start(self.group)
+        fresh = self._store(old.spec.shard, old.shelf, old.seed - self.day.seed * 1000)
+        self.stores[self.stores.index(old)] = fresh
+        await fresh.start(self.group, cold=True)
+        started = time.time() * 1000
+        self.group.start_soon(self.list.set, old.name, "gone", old.spec.shard, old.spec.zone)
+        self.group.start_soon(self.list.set, fresh.name, "ready", old.spec.shard, old.spec.zone, started)
+        await anyio.sleep(span)
+        other.kill()
+
     async def _kill_gateway(self, index: int, span: float) -> None:
         self.record.note("day", "gateway-down", gateway=f"gateway-{index}")
         process = self.processes[index]
--- a/winchdyke/days/script.py
+++ b/winchdyke/days/script.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from pathlib import Path
 from typing import Any, Literal
 
 import msgspec
@@ -11,7 +12,7 @@
 
 Trouble = Literal[
     "deploy", "silent", "lost", "slow", "pauses", "neighbour", "crash", "burst", "gateway-kill", "list-down",
-    "leave-upload", "leave-download", "hurry",
+    "leave-upload", "leave-download", "hurry", "own-drain", "reuse",
 ]  # fmt: skip
 
 
@@ -103,6 +104,7 @@
     queue: int = 32
     late_list: float = 300.0
     must_ask: bool = False
+    keeps: bool = False  # whether gateways keep the node list on their disks
     carried_not: list[str] = []
 
 
@@ -168,7 +170,25 @@
     return msgspec.structs.replace(bad_day(seed, length), name="quiet-day", events=[])
 
 
-DAYS = {"bad-day": bad_day, "quiet-day": quiet_day}
+def blind_day(seed: int, length: float = 24_000.0) -> Day:
+    """Discovery is down while gateways and stores are deployed: in place, drained by their own word, an address reused."""
+    day = bad_day(seed, length)
+    draw = random.Random(f"blind/{seed}")
+    order, part = draw.sample(range(day.stores), day.stores), length / 24
+    events = [
+        Event("list-down", 4 * part, 16 * part, [], 0, draw.choice(["error", "silence"])),
+        Event("crash", 5 * part, 0.5 * part, [order[0]]),
+        *(Event("gateway-kill", (6 + 3 * n) * part, 0.5 * part, [n]) for n in range(day.gateways)),
+        Event("own-drain", 8 * part, 1 * part, [order[1], order[2]]),
+        Event("reuse", 10 * part, 9 * part, [order[3]]),
+        Event("slow", 11 * part, 4 * part, [order[4]], draw.uniform(3, 6)),
+        Event("crash", 14 * part, 0.5 * part, [order[5]]),
+        Event("own-drain", 16 * part, 1 * part, [order[6]]),
+    ]
+    return msgspec.structs.replace(day, name="blind-day", events=events, keeps=True)
+
+
+DAYS = {"bad-day": bad_day, "quiet-day": quiet_day, "blind-day": blind_day}
 
 
 def _active(day: Day, kind: str, at: float) -> Event | None:
@@ -261,6 +281,7 @@
         ("nodes", {
             "list": f"http://127.0.0.1:{list_port}/nodes", "discovery": "asked" if day.must_ask else "pushed",
             "wait": "2s", "timeout": "1s",
+            **({"keep": f'"{Path(port_file).parent}/nodes-{index}"'} if day.keeps else {}),
         }),
         ("rules", {
             "mean_units": 2, "largest_units": LARGEST, "max_attempts": rules.max_attempts, "meter": "500ms",
