--- a/winchdyke/nodes/membership.py
+++ b/winchdyke/nodes/membership.py
@@ -52,6 +52,7 @@
         self._saved = -1e18
         self._trouble = ""
         self._trying = False
+        self._wake = anyio.Event()
 
     def ask(self) -> None:
         """The scheduler wants the list."""
@@ -91,7 +92,9 @@
                     group.start_soon(self._try, name)
                 await self._tell()
                 await self._save(now)
-                await anyio.sleep(TICK_S)
+                self._wake = anyio.Event()
+                with anyio.move_on_after(TICK_S):
+                    await self._wake.wait()
 
     async def _try(self, name: str) -> None:
         try:
@@ -126,7 +129,12 @@
 
     def heard(self, node: str, word: Word) -> bool:
         """A node answered; whether it is the one that is meant."""
-        return self.belief.heard(node, word, self._clock(), time.time() * 1000)
+        known = self.belief.known.get(node)
+        before = known.state if known is not None else None
+        fits = self.belief.heard(node, word, self._clock(), time.time() * 1000)
+        if known is not None and known.state is not before:
+            self._wake.set()  # a drain, a stranger: the scheduler hears of it at once
+        return fits
 
     def refused(self, node: str) -> None:
         """A node could not be reached."""
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -262,6 +262,9 @@
         if not self.tells:
             return []
         up = clock() - self._born if self.cold else clock() - self._since + LONG_MS
+        cold = up < self.spec.warm_ms
+        if self.draining or cold:
+            self.record.note(self.name, "said", gateway=asked.gateway, drains=self.draining, cold=cold)
         said = [
             ("winchdyke-store", self.identity),
             ("winchdyke-boot", self.boot),
