--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import os
 import time
 from pathlib import Path
@@ -531,3 +532,93 @@
     assert verdict.kept and ends == [0, 0, 0], [r.broken[:2] for r in verdict.rulings]
     assert any(each["what"] == "up" and each.get("stranger") for each in seen)
     assert sum(each["what"] == "said" and each["drains"] for each in seen) > 0
+
+
+def test_what_is_believed_is_shown_and_explained(tmp_path):
+    from click.testing import CliRunner
+
+    from winchdyke.cli.main import main
+
+    def said(*words: str) -> str:
+        return CliRunner().invoke(main, ["nodes", *words]).output
+
+    @played
+    async def run():
+        async with rig(with_nodes(keep=str(tmp_path))) as it:
+            await it.list.set(it.stores[0].name, "draining", 0, "hall-a")
+            await it.until(
+                lambda: it.gateway.membership.belief.known[it.stores[0].name].state is State.DRAINING
+            )
+            await it.until(
+                lambda: disk.load(tmp_path)[0] is not None and disk.load(tmp_path)[0].nodes[0].drained
+            )
+            name = it.stores[0].name
+            assert "8 nodes" in said("show", str(tmp_path))
+            data = json.loads(said("show", "--json", str(tmp_path)))
+            assert {row["state"] for row in data["nodes"]} == {"draining", "usable"}
+            text = said("explain", name, str(tmp_path))
+            assert "draining (drains, by list)" in text and "nothing new goes to it" in text
+            assert "usable" in said("history", str(tmp_path), "--node", name)
+            assert "is not on the list" in said("explain", "10.0.0.9:1", str(tmp_path))
+
+    run()
+    assert "holds no node list" in said("show", str(tmp_path / "none"))
+
+
+def test_a_restored_list_service_and_one_that_flaps_take_nothing_away_and_send_nothing_to_what_drains():
+    @played
+    async def run():
+        async with rig() as it:
+            belief = it.gateway.membership.belief
+            left_out, flapping = it.stores[6], it.stores[7]
+            for turn in range(12):
+                await it.list.set(flapping.name, "draining" if turn % 2 else "ready", 7, "hall-a")
+                if turn % 2:
+                    await it.until(lambda: not belief.usable(flapping.name))
+            assert not belief.usable(flapping.name)
+            # Restored from a copy of old: lower versions, one node that it does not know, and no drain.
+            del it.list._entries[left_out.name]
+            it.list._entries[flapping.name]["state"] = "ready"
+            it.list._epoch, it.list._version, it.list._changes = "restored", 3, []
+            it.list._news.set()
+            it.list._news = anyio.Event()
+            source = belief.sources["list"]
+            await it.until(lambda: source.back_since is not None)
+            assert belief.usable(left_out.name) and not belief.usable(flapping.name)
+            path = next(p for p in (f"/school-1/k{n}" for n in range(200)) if it.where(p) is left_out)
+            assert (await it.ask("GET", path)).status == 404
+
+    run()
+
+
+SAVING = """
+import sys
+sys.path.insert(0, "tests")
+from pathlib import Path
+from test_membership import kept
+from winchdyke.nodes import disk
+count = 1
+print("on", flush=True)
+while True:
+    count = count % 6 + 1
+    disk.save(Path(sys.argv[1]), kept(count), True)
+"""
+
+
+def test_a_kill_while_the_list_is_written_always_leaves_a_whole_one(tmp_path):
+    import random
+    import subprocess
+    import sys
+
+    disk.save(tmp_path, kept(1), False)
+    draw = random.Random(2)
+    for _ in range(8):
+        process = subprocess.Popen([sys.executable, "-c", SAVING, str(tmp_path)], stdout=subprocess.PIPE)
+        assert process.stdout is not None
+        process.stdout.readline()
+        time.sleep(draw.uniform(0.0, 0.05))
+        process.kill()
+        process.wait(5)
+        process.stdout.close()
+        found, said = disk.load(tmp_path)
+        assert found is not None and found.nodes and not said
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from winchdyke.cli import check, config, day, dev, model, serve, standin, waits
+from winchdyke.cli import check, config, day, dev, model, nodes, serve, standin, waits
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -22,5 +22,6 @@
     standin.command,
     waits.command,
     model.command,
+    nodes.command,
 ):
     main.add_command(command)
--- /dev/null
+++ b/winchdyke/model/starts.py
@@ -0,0 +1,281 @@
+"""Fleets of gateways that start while discovery is down, in virtual time: real schedulers, real belief; the rest is a model.
+
+Stores have power that grows from a start, and fall over where they are sent more than the rule allows, as the stand-ins do.
+The list that a gateway kept names nodes that are gone by now, addresses that other stores have taken, and nodes that started
+lately. What a list call, a dial and a question who is there cost is modelled by times; a store's own word is as on sockets.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from dataclasses import dataclass, replace
+
+from winchdyke import interface as api
+from winchdyke.model.world import CLASSES, PLANS, Scene, World
+from winchdyke.nodes.belief import Belief, Bounds, Entry, Known, State, Word
+
+WARM_MS, COLD_FROM, FALL_MULTIPLE, FALL_WINDOW_MS, COLD_UNITS = 10_000.0, 0.2, 3.0, 1500.0, 9.0
+DIAL_TIMEOUT_MS, TICK_MS = 250.0, 20.0
+
+
+@dataclass(frozen=True)
+class Start:
+    """How a fleet starts: what it goes by, when discovery answers, and how the kept list differs from what is."""
+
+    policy: str = "belief"  # belief; outright: the kept list is believed; wait: for discovery; plain: waits, retries evenly
+    discovery_at_ms: float = 0.0
+    gone: float = (
+        0.05  # of the list's nodes that are elsewhere by now; at half of their addresses are other stores
+    )
+    fresh: float = 0.1  # of the nodes that started a moment ago, in place
+    spread_ms: float = 1000.0  # over which gateways start
+
+
+class Machine:
+    """A store: its work, its power since its start, and what makes it fall over."""
+
+    def __init__(self, name: str, shard: int, cores: int, unit_ms: float, born: float) -> None:
+        self.name, self.shard, self.cores, self.unit_ms, self.born = name, shard, cores, unit_ms, born
+        self.free, self.queue = cores, deque[tuple[int, str, int, float, float]]()
+        self.fallen = self.stranger = False
+        self.alive = True
+        self.sent: deque[tuple[float, float]] = deque()
+        self.misled = 0
+
+    def part(self, now: float) -> float:
+        """Of its power that it has now."""
+        age = now - self.born
+        return 1.0 if age >= WARM_MS else COLD_FROM + (1 - COLD_FROM) * max(0.0, age) / WARM_MS
+
+    def press(self, now: float, units: float) -> None:
+        """Count what it is sent while cold."""
+        if now - self.born >= WARM_MS:
+            return
+        self.sent.append((now, units))
+        while self.sent[0][0] < now - FALL_WINDOW_MS:
+            self.sent.popleft()
+        power = self.cores * 1000 / self.unit_ms * self.part(now)
+        most = max(COLD_UNITS, FALL_MULTIPLE * power * FALL_WINDOW_MS / 1000)
+        self.fallen = self.fallen or sum(units for _, units in self.sent) > most
+
+
+class Starting(World):
+    """One start of a fleet."""
+
+    def __init__(self, scene: Scene, start: Start) -> None:
+        self.start = start
+        draw = self.draw = random.Random(f"{scene.seed}/start")
+        names = [f"n{shard}" for shard in range(scene.stores)]
+        lost = set(draw.sample(range(scene.stores), round(start.gone * scene.stores)))
+        fresh = set(
+            draw.sample([n for n in range(scene.stores) if n not in lost], round(start.fresh * scene.stores))
+        )
+        self.machines: dict[str, Machine] = {}
+        self.listed: list[tuple[str, int, float]] = []  # what discovery knows: name, shard, start
+        for shard, name in enumerate(names):
+            born = -2000.0 if shard in fresh else -1e9
+            place = f"m{shard}" if shard in lost else name
+            self.machines[place] = Machine(place, shard, scene.cores, scene.unit_ms, born)
+            self.listed.append((place, shard, born if shard in fresh else 0.0))
+            if shard in lost:
+                old = self.machines[name] = Machine(name, shard, scene.cores, scene.unit_ms, -1e9)
+                old.stranger = bool(draw.random() < 0.5)
+                old.alive = old.stranger
+        self.kept = [
+            Known(name, shard, state=State.USABLE, identity=f"store-{shard}", confirmed_unix=draw.random())
+            for shard, name in enumerate(names)
+        ]
+        bounds = Bounds(warm_after=WARM_MS)
+        self.beliefs = [Belief(bounds) for _ in range(scene.gateways)]
+        self.checked: set[tuple[int, str]] = set()
+        self.trying: set[int] = set()
+        self.started: set[int] = set()
+        self.calls: Counter[int] = Counter()  # at the list service, by second
+        self.told: Counter[int] = Counter()  # calls in a row of a gateway that failed
+        self.following: set[int] = set()
+        settings = api.Settings(
+            gateways=scene.gateways, index=0, classes=CLASSES, plans=PLANS, mean_units=2.0, largest_units=8.0,
+            fair_worth=0.3, idle_worth=0.08, max_attempts=3, max_retry_after_ms=500.0, connect_timeout_ms=DIAL_TIMEOUT_MS,
+            cold_from=COLD_FROM, warm_after_ms=WARM_MS, fall_multiple=FALL_MULTIPLE, fall_window_ms=FALL_WINDOW_MS,
+            cold_units=COLD_UNITS, extra_window_ms=5000.0, extra_free=3, extra_share=0.1,
+        )  # fmt: skip
+        super().__init__(scene, given=settings)
+
+    def _begin(self, index: int, nodes: tuple[api.Node, ...]) -> None:
+        self._at(self.draw.uniform(0.0, self.start.spread_ms), "start", index)
+
+    def _on_start(self, now: float, index: int) -> None:
+        self.started.add(index)
+        if self.start.policy == "belief":
+            self.beliefs[index].restored([replace(known) for known in self.kept], now)
+            self._at(now, "tick", index)
+        elif self.start.policy == "outright":
+            nodes = tuple(api.Node(known.name, api.NodeState.READY, known.shard) for known in self.kept)
+            self._give(now, index, [api.NodeList(api.ListKind.CACHED, nodes)])
+        self._watch(now, index)
+
+    def _on_arrive(self, now: float, gateway: int, request: api.Request) -> None:
+        if gateway in self.started:
+            super()._on_arrive(now, gateway, request)
+        else:  # nobody listens yet: the client goes to another one
+            super()._on_arrive(
+                now, self.draw.choice(sorted(self.started)) if self.started else gateway, request
+            )
+
+    # The list service
+
+    def _watch(self, now: float, index: int) -> None:
+        if index not in self.following:
+            self.calls[int(now // 1000)] += 1
+            self._at(now + 1.0, "list", index)
+
+    def _on_list(self, now: float, index: int) -> None:
+        if index in self.following:
+            return
+        if now < self.start.discovery_at_ms:
+            self.told[index] += 1
+            self.beliefs[index].failed("list", now)
+            self._give(now, index, [api.NodeList(api.ListKind.FAILED)])
+            if self.start.policy == "plain":
+                self._at(now + 500.0, "retry", index)
+            return
+        self.following.add(index)
+        entries = [
+            Entry(name, api.NodeState.READY, shard, "", born, f"store-{shard}")
+            for name, shard, born in self.listed
+        ]
+        self.beliefs[index].listed("list", entries, now, version=1)
+        self.beliefs[index].news()
+        nodes = tuple(api.Node(entry.name, entry.state, entry.shard, "", entry.started) for entry in entries)
+        self._give(now, index, [api.NodeList(api.ListKind.FULL, nodes)])
+
+    def _on_retry(self, now: float, index: int) -> None:
+        self._watch(now, index)
+
+    # Belief
+
+    def _on_tick(self, now: float, index: int) -> None:
+        belief = self.beliefs[index]
+        belief.tick(now)
+        name = None if index in self.trying else belief.trial(now)
+        if name is not None:
+            self.trying.add(index)
+            took = self._dial_ms(name)
+            self._at(now + self.draw.uniform(0, TICK_MS) + took, "tried", index, name)
+        self._news(now, index)
+        if now < self.scene.length_ms:
+            self._at(now + TICK_MS, "tick", index)
+
+    def _on_tried(self, now: float, index: int, name: str) -> None:
+        self.trying.discard(index)
+        self._ask(now, index, name)
+        self._news(now, index)
+
+    def _ask(self, now: float, index: int, name: str) -> bool:
+        """Dial a node, and ask who is there."""
+        machine = self.machines[name]
+        if not machine.alive or machine.fallen:
+            self.beliefs[index].refused(name, now)
+            return False
+        identity = "stranger" if machine.stranger else f"store-{machine.shard}"
+        fits = self.beliefs[index].heard(name, Word(identity, "b", now - machine.born), now)
+        if fits:
+            self.checked.add((index, name))
+        return fits
+
+    def _dial_ms(self, name: str) -> float:
+        machine = self.machines[name]
+        if machine.fallen:
+            return DIAL_TIMEOUT_MS
+        # A host that is gone says nothing; a port that nobody listens at refuses at once: half of each.
+        return 2 * self.scene.net_ms if machine.alive or int(name[1:]) % 2 else DIAL_TIMEOUT_MS
+
+    def _news(self, now: float, index: int) -> None:
+        belief = self.beliefs[index]
+        if news := belief.news():
+            if index in self.following:
+                self._give(now, index, [api.NodeList(api.ListKind.CHANGES, tuple(news))])
+            else:
+                self._give(now, index, [api.NodeList(api.ListKind.CACHED, tuple(belief.all()))])
+
+    # Work
+
+    def _send(self, now: float, index: int, request: api.Request, attempt: int, node: str) -> None:
+        machine = self.machines[node]
+        if not machine.alive or machine.fallen:
+            took = self._dial_ms(node)
+            self._ended(now + took, index, request.id, attempt, node, api.Outcome.DIAL_FAILED, took)
+            return
+        if (
+            self.start.policy == "belief"
+            and (index, node) not in self.checked
+            and not self._ask(now, index, node)
+        ):
+            self._ended(now + 1.0, index, request.id, attempt, node, api.Outcome.DIAL_FAILED, 1.0)
+            return
+        if machine.stranger:  # it answers, and has nothing that is asked for
+            machine.misled += 1
+            self._ended(now + 1.0, index, request.id, attempt, node, api.Outcome.ERROR, 1.0)
+            return
+        machine.press(now, request.units)
+        if machine.fallen:
+            machine.queue.clear()
+            return
+        machine.queue.append((index, request.id, attempt, request.units, now))
+        self._serve(now + self.scene.net_ms, machine)
+
+    def _ended(
+        self, at: float, index: int, request: str, attempt: int, node: str, how: api.Outcome, took: float
+    ) -> None:
+        self._at(
+            at,
+            "answer",
+            index,
+            api.AttemptEnded(request, attempt, node, how, took, how is api.Outcome.SERVED),
+        )
+
+    def _serve(self, now: float, machine: Machine) -> None:
+        while machine.free and machine.queue:
+            index, request, attempt, units, sent = machine.queue.popleft()
+            machine.free -= 1
+            self._at(
+                now + units * machine.unit_ms / machine.part(now),
+                "done",
+                machine.name,
+                index,
+                request,
+                attempt,
+                sent,
+            )
+
+    def _on_done(self, now: float, name: str, index: int, request: str, attempt: int, sent: float) -> None:
+        machine = self.machines[name]
+        machine.free += 1
+        if not machine.fallen:
+            end = now + self.scene.net_ms
+            self._ended(end, index, request, attempt, name, api.Outcome.SERVED, end - sent)
+        self._serve(now, machine)
+
+    def _on_answer(self, now: float, gateway: int, event: api.AttemptEnded) -> None:
+        if event.outcome is api.Outcome.SERVED:
+            super()._on_answer(now, gateway, event)
+        else:
+            self._give(now, gateway, [event])
+            if event.outcome is api.Outcome.DIAL_FAILED and self.start.policy == "belief":
+                self.beliefs[gateway].refused(event.node, now)
+
+    def worth(self, until_ms: float) -> float:
+        """Worth of what was served within its aim, by then."""
+        aims = {kind.name: (kind.aim_ms, kind.worth) for kind in CLASSES}
+        return sum(
+            aims[done.class_name][1] * (done.latency <= aims[done.class_name][0])
+            for done in self.done.values()
+            if done.outcome == "served" and done.end <= until_ms
+        )
+
+    def first_ms(self) -> float:
+        """When the first request was served."""
+        return min(
+            (done.end for done in self.done.values() if done.outcome == "served"), default=float("inf")
+        )
--- a/winchdyke/model/world.py
+++ b/winchdyke/model/world.py
@@ -171,11 +171,15 @@
         self._open: dict[str, tuple[api.Request, int]] = {}
         nodes = tuple(api.Node(f"n{shard}", api.NodeState.READY, shard) for shard in range(scene.stores))
         for index in range(scene.gateways):
-            self._give(0.0, index, [api.NodeList(api.ListKind.FULL, nodes)])
+            self._begin(index, nodes)
         for course in scene.courses:
             if course.name not in without:
                 self._arrivals(course)
 
+    def _begin(self, index: int, nodes: tuple[api.Node, ...]) -> None:
+        """A gateway starts: it knows all nodes."""
+        self._give(0.0, index, [api.NodeList(api.ListKind.FULL, nodes)])
+
     def _at(self, time: float, kind: str, *what: object) -> None:
         heapq.heappush(self._heap, (time, next(self._order), kind, what))
 
@@ -202,29 +206,20 @@
         """Play it to its end: every request, in order of coming."""
         while self._heap:
             now, _, kind, what = heapq.heappop(self._heap)
-            if kind == "arrive":
-                gateway, request = what
-                assert isinstance(gateway, int) and isinstance(request, api.Request)
-                self.done[request.id] = Done(request.id, request.volume, request.class_name, gateway, now)
-                self._open[request.id] = request, 0
-                self.done[request.id].units = request.units
-                for observer in self._observers(gateway):
-                    observer.begin(request.id, request.shard, request.class_name, now)
-                self._give(now, gateway, [request])
-            elif kind == "timer":
-                gateway, tag = what
-                assert isinstance(gateway, int) and isinstance(tag, int)
-                self._give(now, gateway, [api.TimerFired(tag)])
-            elif kind == "work":
-                self._work(now, *what)  # type: ignore[arg-type]
-            elif kind == "worked":
-                self._worked(now, *what)  # type: ignore[arg-type]
-            else:
-                gateway, event = what
-                assert isinstance(gateway, int) and isinstance(event, api.AttemptEnded)
-                self._answered(now, gateway, event)
+            getattr(self, f"_on_{kind}")(now, *what)
         return list(self.done.values())
 
+    def _on_arrive(self, now: float, gateway: int, request: api.Request) -> None:
+        done = Done(request.id, request.volume, request.class_name, gateway, now, units=request.units)
+        self.done[request.id] = done
+        self._open[request.id] = request, 0
+        for observer in self._observers(gateway):
+            observer.begin(request.id, request.shard, request.class_name, now)
+        self._give(now, gateway, [request])
+
+    def _on_timer(self, now: float, gateway: int, tag: int) -> None:
+        self._give(now, gateway, [api.TimerFired(tag)])
+
     def _observers(self, index: int) -> list[Observer]:
         return [self.observers[index], self.seers[index]] if self.seers else [self.observers[index]]
 
@@ -240,24 +235,24 @@
                 view = self.schedulers[index].nodes[action.node]
                 done.sent, done.node = now, action.node
                 done.usual = self.observers[index].usual(view, done.class_name, done.units)
-                self._at(
-                    now + self.scene.net_ms,
-                    "work",
-                    request.shard,
-                    index,
-                    request.id,
-                    attempt,
-                    request.units,
-                    now,
-                )
+                self._send(now, index, request, attempt, action.node)
             elif isinstance(action, (api.Refuse, api.Fail)):
                 self._held(now, index, action.request)
                 done = self.done[action.request]
                 done.end, done.outcome = now, "refused" if isinstance(action, api.Refuse) else "failed"
                 self._open.pop(action.request, None)
+            elif isinstance(action, api.WatchList):
+                self._watch(now, index)
         for observer in self._observers(index):
             observer.look(now)
 
+    def _send(self, now: float, index: int, request: api.Request, attempt: int, node: str) -> None:
+        work = request.shard, index, request.id, attempt, request.units, now
+        self._at(now + self.scene.net_ms, "work", *work)
+
+    def _watch(self, now: float, index: int) -> None:
+        """The scheduler asks for the list: here it has it."""
+
     def _held(self, now: float, index: int, request: str) -> None:
         holders, causes = self.observers[index].end(request, now)
         done = self.done[request]
@@ -270,7 +265,7 @@
             done.causes[cause] = done.causes.get(cause, 0.0) + value
         done.held += sum(holders.values())
 
-    def _work(
+    def _on_work(
         self, now: float, shard: int, gateway: int, request: str, attempt: int, units: float, sent: float
     ) -> None:
         store = self.stores[shard]
@@ -285,7 +280,9 @@
             store.busy.add((gateway, request))
             self._at(now + units * store.unit_ms(now), "worked", shard, gateway, request, attempt, sent)
 
-    def _worked(self, now: float, shard: int, gateway: int, request: str, attempt: int, sent: float) -> None:
+    def _on_worked(
+        self, now: float, shard: int, gateway: int, request: str, attempt: int, sent: float
+    ) -> None:
         self.stores[shard].free += 1
         self.stores[shard].busy.discard((gateway, request))
         self._next(now, shard)
@@ -293,7 +290,7 @@
         event = api.AttemptEnded(request, attempt, f"n{shard}", api.Outcome.SERVED, end - sent, True)
         self._at(end, "answer", gateway, event)
 
-    def _answered(self, now: float, gateway: int, event: api.AttemptEnded) -> None:
+    def _on_answer(self, now: float, gateway: int, event: api.AttemptEnded) -> None:
         done = self.done[event.request]
         if not done.outcome:
             done.end, done.outcome = now, "served"
