--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,370 @@
+"""Changes in service: versions, their trail, one instant, undone; kills at any step."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import sqlite3
+import subprocess
+import sys
+import time
+
+import anyio
+import anyio.to_thread
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+from rig import played, rig, settings
+
+from winchdyke import interface as api
+from winchdyke.changes.edit import edited, rebased, text_of
+from winchdyke.changes.machine import Standing, Step, due, recover, standing
+from winchdyke.changes.swap import retell
+from winchdyke.changes.trail import Trail, TrailError
+from winchdyke.cli.main import main
+from winchdyke.config import parse
+from winchdyke.policy import Scheduler
+
+WHOLE = [Step("proposed", 1), Step("staged", 1), Step("applying", 1), Step("applied", 1)]
+
+
+def said(*words: str, ends: int = 0) -> str:
+    done = CliRunner().invoke(main, ["changes", *words])
+    assert done.exit_code == ends, done.output
+    return done.output
+
+
+# The state machine
+
+
+@pytest.mark.parametrize("until", [0.0, 5000.0])
+def test_a_kill_at_any_step_leaves_the_old_or_the_new_version_and_says_which(until):
+    steps = [
+        *WHOLE, Step("proposed", 2), Step("staged", 2, until_ms=until), Step("applying", 2), Step("applied", 2, until_ms=until),
+        Step("confirmed", 2), Step("staged", 1), Step("undoing", 1), Step("undone", 1),
+    ]  # fmt: skip
+    served = {6: 1, 7: 1, 8: 1 if until else 2, 9: 2, 10: 2, 11: 2, 12: 1}
+    for cut, version in served.items():
+        found = standing(steps[:cut])
+        added, why = recover(found)
+        after = standing([*steps[:cut], *added])
+        assert after.serving == version and not after.applying and not after.until_ms, (cut, why)
+        assert f"version {version}" in why
+    assert standing(steps[:6]).staged == 2, "what was staged is still to be applied"
+
+
+STEPS = ["staged", "refused", "applying", "applied", "confirmed", "undoing", "undone"]
+
+
+@given(st.lists(st.tuples(st.sampled_from(STEPS), st.integers(1, 4)), max_size=14))
+@examples(max_examples=300)
+def test_whatever_steps_follow_a_start_serves_one_version_that_was_applied(steps):
+    found = standing(WHOLE)
+    applied = {1}
+    for what, version in steps:
+        if what == "undone":
+            version = found.before or found.serving
+        try:
+            found = found.after(Step(what, version))
+        except ValueError:
+            continue
+        applied |= {found.serving}
+    added, _ = recover(found)
+    for step in added:
+        found = found.after(step)
+    assert found.serving in applied | {found.before} and not found.applying and not found.until_ms
+
+
+def test_what_is_due():
+    assert due(Standing(serving=1, staged=2), 0.0) == Step("applying", 2)
+    assert due(Standing(serving=2, before=1, until_ms=100.0), 99.0) is None
+    assert due(Standing(serving=2, before=1, until_ms=100.0), 100.0) == Step("undoing", 1)
+    assert due(Standing(serving=1, applying=2), 1e9) is None
+
+
+# The seam to the module
+
+
+def scheduler(limit: float = 0.0) -> Scheduler:
+    return Scheduler(told(limit), 1, 0.0)
+
+
+def told(limit: float) -> api.Settings:
+    kind = api.RequestClass("fetch", 2.0, 400.0, 3000.0, 0.1, api.Effect.IDEMPOTENT, api.Scope.ALL, 0.0)
+    plans = (
+        api.Plan("a", 1.0, 1.0, 10.0, 0.0, limit=limit, limit_burst=limit),
+        api.Plan("b", 1.0, 1.0, 10.0, 20.0),
+    )
+    return api.Settings(gateways=1, index=0, classes=(kind,), plans=plans, max_attempts=3, largest_units=4.0)
+
+
+def sent(scheduler: Scheduler, now: float, count: int, name: str) -> int:
+    requests = [
+        api.Request(f"{name}{n}", "fetch", "a", "v", f"{name}{n}", 1.0, 0, 1, 2500.0) for n in range(count)
+    ]
+    actions = scheduler.handle(now, list(requests))
+    done = [action for action in actions if isinstance(action, api.Send)]
+    ended = [api.AttemptEnded(a.request, 0, "n", api.Outcome.SERVED, 1.0, True) for a in done]
+    scheduler.handle(now, list(ended))
+    return len(done)
+
+
+def test_a_lowered_limit_binds_from_the_instant_and_a_raised_one_gives_no_burst():
+    made = scheduler(50.0)
+    made.handle(0.0, [api.NodeList(api.ListKind.FULL, (api.Node("n", api.NodeState.READY, 0),))])
+    sent(made, 0.0, 1, "x")
+    sent(made, 2000.0, 1, "y")  # the account is full by now: 50 units
+    assert made.volumes["v"].limit > 40
+    assert retell(made, told(2.0), lambda _: "a", 2000.0) == 1
+    assert made.volumes["v"].limit == 2.0
+    total = sum(sent(made, 2000.0 + at, 3, f"z{at}-") for at in range(0, 3000, 100))
+    assert total <= 2 + 2.0 * 3, "the burst and the flow of the new limit, no more"
+    before = made.volumes["v"].limit
+    retell(made, told(500.0), lambda _: "a", 5000.0)
+    assert made.volumes["v"].limit == pytest.approx(before, abs=1.0)
+
+
+def test_what_lives_on_lives_on_and_a_volume_may_change_its_plan():
+    made = scheduler()
+    made.handle(0.0, [api.NodeList(api.ListKind.FULL, (api.Node("n", api.NodeState.READY, 0),))])
+    sent(made, 0.0, 3, "x")
+    window, taken = made.nodes["n"].window, list(made.budget.taken)
+    retell(made, told(0.0), lambda _: "b", 1.0)
+    assert made.volumes["v"].plan.name == "b"
+    assert made.nodes["n"].window is window and list(made.budget.taken) == taken
+    assert retell(made, told(0.0), lambda _: "gone", 2.0) == 0, (
+        "a plan that is gone leaves the account its last one"
+    )
+
+
+# Edits
+
+
+def test_edits_of_single_values_and_two_edits_of_one_version():
+    base = settings()
+    mine = parse(edited(base, "plan", "school", ["usual_rate=90 units/s"]))
+    theirs = parse(edited(base, "plan", "basic", ["limit=200 units/s"]))
+    text, clashes = rebased(base, mine, theirs)
+    both = {plan.name: plan for plan in parse(text).plans}
+    assert not clashes and (both["school"].usual_rate, both["basic"].limit) == (90.0, 200.0)
+    other = parse(edited(base, "plan", "school", ["usual_rate=70 units/s"]))
+    _, clashes = rebased(base, mine, other)
+    assert [(a.new, b.new) for a, b in clashes] == [(90.0, 70.0)]
+    assert parse(text_of(base)) == base
+
+
+# The trail
+
+
+def trail_of(folder, versions: int = 3) -> Trail:
+    trail = Trail(folder)
+    for number in range(versions):
+        version = trail.propose(f"text {number}", number, "[]", "ann", "why", "here")
+        for what in ("staged", "applying", "applied"):
+            trail.add(Step(what, version), "gateway")
+    return trail
+
+
+def test_the_chain_shows_every_altered_and_removed_entry_and_text(tmp_path):
+    trail = trail_of(tmp_path)
+    assert trail.verify() == []
+    whole = trail.entries()
+    for statement in [
+        *(
+            f"UPDATE trail SET {column} = 'x' WHERE seq = {entry.seq}"
+            for entry in whole
+            for column in ("who", "note", "what")
+        ),
+        *(f"DELETE FROM trail WHERE seq = {entry.seq}" for entry in whole[:-1]),
+        "UPDATE versions SET text = 'other' WHERE id = 2",
+        "DELETE FROM versions WHERE id = 1",
+    ]:
+        copy = tmp_path / "copy"
+        copy.mkdir(exist_ok=True)
+        with sqlite3.connect(trail.path) as source, sqlite3.connect(copy / "changes.db") as target:
+            source.backup(target)
+        other = Trail(copy)
+        with sqlite3.connect(other.path) as db:
+            db.execute(statement)
+        assert other.verify(), statement
+    assert trail.path.stat().st_mode & 0o777 == 0o600
+
+
+def test_steps_that_do_not_follow_and_races_are_refused_and_nothing_is_written(tmp_path):
+    trail = trail_of(tmp_path)
+    before = trail.entries()
+    with pytest.raises(TrailError, match="without being begun"):
+        trail.add(Step("applied", 9), "x")
+    with pytest.raises(TrailError, match="meanwhile"):
+        trail.add(Step("staged", 2), "x", expect=Standing())
+    assert trail.entries() == before
+    assert "is not there" in said("log", str(tmp_path / "none"), ends=1)
+
+
+def test_a_damaged_file_is_an_error_that_names_it(tmp_path):
+    trail = trail_of(tmp_path)
+    trail.path.write_bytes(b"no database" * 1000)
+    assert "changes.db" in said("log", str(tmp_path), ends=1)
+
+
+KILLED = """
+import sys
+from pathlib import Path
+from winchdyke.changes.machine import Step
+from winchdyke.changes.trail import Trail
+trail = Trail(Path(sys.argv[1]))
+while True:
+    version = trail.propose("x" * 5000, 0, "[]", "w", "", "")
+    for what in ("staged", "applying", "applied"):
+        trail.add(Step(what, version), "g")
+    print(version, flush=True)
+"""
+
+
+def test_no_version_that_was_reported_applied_is_lost_by_kills(tmp_path):
+    draw = random.Random(4)
+    for _ in range(6):
+        process = subprocess.Popen(
+            [sys.executable, "-c", KILLED, str(tmp_path)], stdout=subprocess.PIPE, text=True
+        )
+        assert process.stdout is not None
+        reported = int(process.stdout.readline())
+        time.sleep(draw.uniform(0.0, 0.1))
+        process.kill()
+        for line in process.stdout:
+            reported = int(line) if line.endswith("\n") else reported
+        process.wait(5)
+        process.stdout.close()
+        trail = Trail(tmp_path)
+        assert trail.verify() == []
+        added, _ = recover(trail.standing())
+        for step in added:
+            trail.add(step, "g")
+        assert trail.standing().serving >= reported
+
+
+# On sockets
+
+
+def with_changes(folder):
+    from winchdyke.config.model import Changes
+
+    return dataclasses.replace(settings(), changes=Changes(str(folder)))
+
+
+def test_changes_under_load_are_applied_at_one_instant_and_undone(tmp_path):
+    """Each answer carries its version, and every attempt at a store carried the same."""
+
+    @played
+    async def run():
+        async with rig(with_changes(tmp_path), unit_ms=4.0) as it:
+            versions: dict[str, str] = {}
+            stop = False
+
+            async def load(number: int) -> None:
+                count = 0
+                while not stop:
+                    count += 1
+                    name = f"c{number}-{count}"
+                    answer = await it.ask("GET", f"/school-1/k{number}-{count}", x_request_id=name)
+                    assert answer.status in (404, 503)
+                    versions[name] = answer.headers["winchdyke-version"]
+
+            async def cli(*words: str, ends: int = 0) -> str:
+                return await anyio.to_thread.run_sync(lambda: said(*words, ends=ends))
+
+            folder = str(tmp_path)
+            async with anyio.create_task_group() as group:
+                for number in range(6):
+                    group.start_soon(load, number)
+                assert "version 2" in await cli(
+                    "set", folder, "plan", "school", "usual_rate=90 units/s", "--why", "contest"
+                )
+                assert "applied" in await cli("apply", folder, "2")
+                assert it.gateway.live.pause_ms < 100
+                assert {p.name: p for p in it.gateway.engine._scheduler.cfg.plans}[
+                    "school"
+                ].usual_rate == 90.0
+                await cli("set", folder, "volume", "school-*", "plan=contest")
+                assert "undone" not in await cli("apply", folder, "3", "--confirm-within", "700ms")
+                await it.until(lambda: it.gateway.service.snapshot.version == 3)
+                await it.until(lambda: it.gateway.service.snapshot.version == 2)
+                await it.until(lambda: it.gateway.live.trail.standing().serving == 2)
+                await cli("set", folder, "plan", "basic", "limit=100 units/s")
+                await cli("apply", folder, "4", "--confirm-within", "60s")
+                assert "stays" in await cli("confirm", folder)
+                assert "undone" in await cli("undo", folder)
+                assert it.gateway.service.snapshot.version == 2
+                stop = True
+            assert set(versions.values()) == {"1", "2", "3", "4"}
+            heads = [seen for seen in it.record.seen if seen["what"] == "head"]
+            assert len(heads) > 50
+            assert all(str(seen["version"]) == versions[seen["client"]] for seen in heads)
+            assert "in the chain" in await cli("verify", folder)
+
+    run()
+
+
+def test_a_limit_below_what_a_course_sends_now_binds_at_the_stores(tmp_path):
+    @played
+    async def run():
+        async with rig(with_changes(tmp_path), unit_ms=1.0) as it:
+            stop = False
+
+            async def load(number: int) -> None:
+                count = 0
+                while not stop:
+                    count += 1
+                    await it.ask("GET", f"/other/k{number}-{count}", winchdyke_time_left="200ms")
+
+            async with anyio.create_task_group() as group:
+                for number in range(4):
+                    group.start_soon(load, number)
+                await anyio.sleep(0.5)
+                await anyio.to_thread.run_sync(
+                    lambda: said("set", str(tmp_path), "plan", "basic", "limit=10 units/s", "limit_burst=8")
+                )
+                await anyio.to_thread.run_sync(lambda: said("apply", str(tmp_path), "2"))
+                since = it.record.seen[-1]["t"]
+                await anyio.sleep(2.0)
+                stop = True
+            late = [seen for seen in it.record.seen if seen["what"] == "head" and seen["t"] > since + 50]
+            span = (it.record.seen[-1]["t"] - since) / 1000
+            assert 10 <= len(late) <= 8 + 10 * span + 2
+
+    run()
+
+
+def test_what_does_not_pass_or_needs_a_start_or_clashes_is_refused_with_words(tmp_path):
+    @played
+    async def run():
+        async with rig(with_changes(tmp_path)) as it:
+
+            async def cli(*words: str, ends: int = 0) -> str:
+                return await anyio.to_thread.run_sync(lambda: said(*words, ends=ends))
+
+            folder = str(tmp_path)
+            assert "there is no plan shcool; there is school" in await cli(
+                "set", folder, "plan", "shcool", "weight=2", ends=1
+            )
+            assert "the keys are" in await cli("set", folder, "plan", "school", "colour=2", ends=1)
+            assert "does not pass the check" in await cli(
+                "set", folder, "volume", "school-*", "plan=none", ends=1
+            )
+            text = await cli("show", folder, "1")
+            file = tmp_path / "new.conf"
+            file.write_text(text + "\nlimits {\n    connections = 77\n}\n")
+            assert "can't change in service" in await cli("propose", folder, str(file), ends=1)
+            await cli("set", folder, "plan", "school", "weight=3")
+            await cli("set", folder, "plan", "school", "weight=4")
+            await cli("set", folder, "plan", "basic", "weight=5")
+            await cli("apply", folder, "2")
+            clash = await cli("apply", folder, "3", ends=1)
+            assert "yours" in clash and "theirs" in clash
+            assert "merged" in await cli("apply", folder, "4")
+            plans = {plan.name: plan.weight for plan in it.gateway.engine._scheduler.cfg.plans}
+            assert (plans["school"], plans["basic"]) == (3.0, 5.0)
+
+    run()
--- /dev/null
+++ b/winchdyke/changes/__init__.py
@@ -0,0 +1,1 @@
+"""Settings as versions: proposed, checked, applied at one instant while the gateway serves, undone."""
--- /dev/null
+++ b/winchdyke/changes/swap.py
@@ -0,0 +1,66 @@
+"""New settings in a serving gateway at one instant, between two batches of the scheduler's.
+
+Only what is decided for each request anew may change: plans, volumes, routes, pools. What lives on lives on: windows, accounts,
+cold credit, budgets, suspicions. The seam to the module is :func:`retell`: it sets what the scheduler goes by, and clips each
+account to its new plan. A lowered limit binds from the instant; a raised one begins with what the account held, so that it
+gives no burst. A request that is held goes on at the shard it was taken for, to its last attempt.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from winchdyke import interface as api
+from winchdyke.config.meaning import Change, diff
+from winchdyke.config.model import Config
+from winchdyke.policy import Scheduler
+
+LIVE = frozenset({"plan", "volume", "route", "pool", "template"})
+
+
+def fixed(changes: list[Change]) -> list[str]:
+    """What can't change in service, in words: it needs a start."""
+    return [
+        f"{change.kind} {change.name} {change.key}".replace("  ", " ").strip()
+        for change in changes
+        if change.kind not in LIVE
+    ]
+
+
+def difference(old: Config, new: Config) -> list[Change]:
+    """What differs in meaning."""
+    return diff(old, new)
+
+
+def retell(
+    scheduler: Scheduler, settings: api.Settings, plan_of: Callable[[str], str | None], now: float
+) -> int:
+    """Let a scheduler go by new plans from now on; how many accounts changed their plan."""
+    scheduler.cfg = scheduler.budget.cfg = settings
+    scheduler.plans = {plan.name: plan for plan in settings.plans}
+    changed = 0
+    for name, volume in scheduler.volumes.items():
+        plan = scheduler.plans.get(plan_of(name) or volume.plan.name)
+        volume.cfg = settings
+        if plan is None or plan == volume.plan:
+            continue
+        volume.refill(now)  # by the old plan up to this instant
+        volume.plan = plan
+        volume.limit = min(volume.limit, plan.limit_burst / volume.gateways)
+        volume.reserve = min(volume.reserve, (plan.reserve + settings.largest_units) * volume.part)
+        changed += 1
+    return changed
+
+
+def merged(base: Config, mine: Config, theirs: Config) -> tuple[list[Change], list[tuple[Change, Change]]]:
+    """Two edits of one version: mine as changes on theirs, and the values that both touch differently."""
+    ours, others = diff(base, mine), diff(base, theirs)
+    clashes = [
+        (a, b)
+        for a in ours
+        for b in others
+        if (a.kind, a.name) == (b.kind, b.name)
+        and (a.key == b.key or not a.key or not b.key)
+        and a.new != b.new
+    ]
+    return ours, clashes
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from winchdyke.cli import check, config, day, dev, model, nodes, serve, standin, waits
+from winchdyke.cli import changes, check, config, day, dev, model, nodes, serve, standin, waits
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -23,5 +23,6 @@
     waits.command,
     model.command,
     nodes.command,
+    changes.command,
 ):
     main.add_command(command)
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -506,6 +506,7 @@
         listeners=tuple((name, keys["address"]) for name, keys in named("listener")),
         log=model.Log(**values["log", ""]),
         accounts=model.Accounts(**values["accounts", ""]),
+        changes=model.Changes(**values["changes", ""]),
         limits=model.Limits(**values["limits", ""]),
         nodes=model.Discovery(
             host,
--- a/winchdyke/config/meaning.py
+++ b/winchdyke/config/meaning.py
@@ -53,6 +53,7 @@
         ("gateway", ""): dataclasses.asdict(config.gateway),
         ("log", ""): dataclasses.asdict(config.log),
         ("accounts", ""): dataclasses.asdict(config.accounts),
+        ("changes", ""): dataclasses.asdict(config.changes),
         ("limits", ""): dataclasses.asdict(config.limits),
         ("rules", ""): dataclasses.asdict(config.rules),
     }
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -55,6 +55,13 @@
     sync: float
 
 
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Where versions of the settings are kept; an empty folder: they change with a start alone."""
+
+    folder: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds on what clients and stores may use of this gateway."""
@@ -154,6 +161,7 @@
     listeners: tuple[tuple[str, Listen], ...]
     log: Log
     accounts: Accounts
+    changes: Changes
     limits: Limits
     nodes: Discovery
     rules: Rules
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -84,6 +84,10 @@
             ),
         },
     ),
+    "changes": Kind(
+        "Versions of plans, volumes, routes and pools that are changed in service; none where no folder is given.",
+        {"folder": Key(t.Type(), '""', "Where they and their trail are kept; owner-only.")},
+    ),
     "nodes": Kind(
         "The list service.",
         {
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -16,11 +16,13 @@
 from winchdyke import interface as api
 from winchdyke.accounts.ledger import Bounds, Writer
 from winchdyke.accounts.recorder import Recorder
+from winchdyke.changes.live import Live
+from winchdyke.changes.trail import TrailError
 from winchdyke.config import Config
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.gateway.engine import Engine
 from winchdyke.gateway.pool import NO_DESCRIPTORS, Connection, DialError, Pool
-from winchdyke.gateway.service import Service
+from winchdyke.gateway.service import Service, Snapshot
 from winchdyke.http1 import End, Need
 from winchdyke.nodes.belief import Bounds as Belief
 from winchdyke.nodes.belief import Word
@@ -57,6 +59,7 @@
         self.engine.watch = self.membership.ask
         self.pool.greet = self._greet
         self.service.on_word, self.service.on_refused = self.membership.heard, self.membership.refused
+        self.live = self._live()
         self.address = ("", 0)
         self.addresses: list[tuple[str, int]] = []
         self._connections: set[ClientConnection] = set()
@@ -81,6 +84,22 @@
                 f"can't write to {accounts.folder}: {error.strerror}; see accounts, folder"
             ) from error
 
+    def _live(self) -> Live | None:
+        if not self.config.changes.folder:
+            return None
+        try:
+            live = Live(Path(self.config.changes.folder), self.config, self._swap)
+            live.begin()
+        except TrailError as error:
+            raise StartError(f"{error}; see changes, folder") from error
+        return live
+
+    def _swap(self, config: Config, version: int) -> None:
+        """Other settings from this instant on: nothing else runs while this does."""
+        settings = config.settings()
+        self.service.snapshot = Snapshot(config, version)
+        self.engine.retell(settings, lambda name: getattr(config.volume(name), "plan", None))
+
     def _membership(self) -> Membership:
         where, name, clock = self.config.nodes, self.config.gateway.name, self.engine.clock
         sources: list[Source] = [HttpSource(where, name, clock)]
@@ -139,6 +158,8 @@
             self.engine.post(api.NodeList(api.ListKind.CACHED))
             group.start_soon(self.membership.run)
             group.start_soon(self._sweep)
+            if self.live is not None:
+                group.start_soon(self.live.run)
             accepting: list[anyio.CancelScope] = []
             for listener in listeners:
                 group.start_soon(self._accept, listener, accepting, group)
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -17,6 +17,7 @@
 
 from winchdyke import interface as api
 from winchdyke.accounts.why import Observer
+from winchdyke.changes.swap import retell
 from winchdyke.policy import Scheduler
 
 Told = api.Send | api.Refuse | api.Fail | api.Cancel
@@ -114,6 +115,12 @@
         self.observing = True
         self._see()
 
+    def retell(self, settings: api.Settings, plan_of: Callable[[str], str | None]) -> int:
+        """Go by other plans from the next batch on; how many accounts changed theirs."""
+        self.settings = settings
+        scheduler = self._scheduler
+        return retell(scheduler, settings, plan_of, self.clock()) if isinstance(scheduler, Scheduler) else 0
+
     def _see(self) -> None:
         scheduler = self._scheduler
         self.observer = Observer(scheduler) if self.observing and isinstance(scheduler, Scheduler) else None
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -44,11 +44,30 @@
     relayed: bool = False
 
 
+class Snapshot:
+    """Settings as a request finds them when it comes, to its last attempt; never changed, only followed by another."""
+
+    __slots__ = ("config", "version", "volumes")
+
+    def __init__(self, config: Config, version: int = 0) -> None:
+        self.config, self.version = config, version
+        self.volumes: dict[str, VolumeRule | None] = {}
+
+    def volume(self, name: str) -> VolumeRule | None:
+        """The rule of a volume, found once."""
+        if name not in self.volumes:
+            if len(self.volumes) > 100_000:
+                self.volumes.clear()
+            self.volumes[name] = self.config.volume(name)
+        return self.volumes[name]
+
+
 @dataclass(slots=True)
 class Record:
     """What the access line of a request tells, and its course where accounts are kept."""
 
     course: Course | None = None
+    version: int = 0
     ask: api.Request | None = None
     attempts: int = 0
     nodes: list[str] = field(default_factory=list)
@@ -97,22 +116,26 @@
         )  # a request's id: this process, and its number in it
         self._keys: set[tuple[str, str]] = set()
         self._kinds = {kind.rules.name: kind.rules for kind in config.kinds}
-        self._volumes: dict[str, VolumeRule] = {}
+        self.snapshot = Snapshot(config)
         self._log = structlog.get_logger("access")
 
     async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
         """Answer one request; whatever happens, once."""
         self._count += 1
         began, request = self.clock(), f"{self._born}{self._count:012x}"
-        connection.begin([(answers.REQUEST_ID, request.encode())], close=self.stopping)
+        snapshot = self.snapshot
+        told: Headers = [(answers.REQUEST_ID, request.encode())]
+        if snapshot.version:
+            told.append((storewire.VERSION, str(snapshot.version).encode()))
+        connection.begin(told, close=self.stopping)
         connection.unread_length = head.length
-        record = Record(self.recorder.begin() if self.recorder is not None else None)
+        record = Record(self.recorder.begin() if self.recorder is not None else None, snapshot.version)
         operation: routes.Operation | None = None
         kind: Kind | None = None
         self.active += 1
         try:
             operation = routes.parse(head)
-            kind, volume = self._settings_of(operation, head)
+            kind, volume = self._settings_of(snapshot, operation, head)
             final = await self._keyed(connection, head, operation, kind, volume, request, record)
         except RequestError as error:
             final = Final(error.status, "refused", error.reason, str(error))
@@ -158,33 +181,30 @@
             deadline_ms=kind.rules.deadline_ms,
         )
 
-    def _settings_of(self, operation: routes.Operation, head: RequestHead) -> tuple[Kind, VolumeRule]:
-        volume = self._volumes.get(operation.volume)
+    def _settings_of(
+        self, snapshot: Snapshot, operation: routes.Operation, head: RequestHead
+    ) -> tuple[Kind, VolumeRule]:
+        config, volume = snapshot.config, snapshot.volume(operation.volume)
         if volume is None:
-            volume = self.config.volume(operation.volume)
-            if volume is None:
-                raise RequestError(404, "no-volume", f"no volume {operation.volume!r} is set up here")
-            if len(self._volumes) > 100_000:
-                self._volumes.clear()
-            self._volumes[operation.volume] = volume
-        route = self._route(operation, head)
+            raise RequestError(404, "no-volume", f"no volume {operation.volume!r} is set up here")
+        route = self._route(config, operation, head)
         if route is not None and route.shards:
             volume = dataclasses.replace(volume, shards=route.shards)
         asked = operation.class_name or (route.class_name if route is not None else "") or None
-        kind = self.config.kind_for(operation.name, asked)
+        kind = config.kind_for(operation.name, asked)
         if kind is None and not operation.class_name:
-            kind = self.config.kind_for(operation.name, None)
+            kind = config.kind_for(operation.name, None)
         if kind is None:
             asked = f" in class {operation.class_name!r}" if operation.class_name else ""
             raise RequestError(400, "no-class", f"no class is set up for {operation.name}{asked}")
         return kind, volume
 
-    def _route(self, operation: routes.Operation, head: RequestHead) -> Route | None:
-        if not self.config.routes:
+    def _route(self, config: Config, operation: routes.Operation, head: RequestHead) -> Route | None:
+        if not config.routes:
             return None
         headers = {name.decode("latin-1"): value.decode("latin-1").strip() for name, value in head.headers}
         asked = Asked(head.method, operation.volume, operation.key, head.length or 0, headers)
-        return self.config.matcher.match(asked)
+        return config.matcher.match(asked)
 
     async def _keyed(
         self,
@@ -261,7 +281,7 @@
         def outgoing(node: str, number: int) -> Outgoing:
             shard = self.engine.nodes[node].shard
             key = placement.placed_key(stem, shard) if operation.name == "post" else operation.key
-            headers = self._headers(operation, ask, head, shard, number, body)
+            headers = self._headers(operation, ask, head, shard, number, body, record.version)
             return Outgoing(operation.store_method, operation.target(key), headers, body)
 
         try:
@@ -291,6 +311,7 @@
         shard: int,
         number: int,
         body: ReplayBody | None,
+        version: int,
     ) -> Headers:
         headers: Headers = [
             (b"host", b"store"),
@@ -302,6 +323,8 @@
             (storewire.SHARD, str(shard).encode()),
             *operation.passed,
         ]
+        if version:
+            headers.append((storewire.VERSION, str(version).encode()))
         kind = self._kinds[ask.class_name]
         if kind.effect is api.Effect.KEYED:
             headers.append((storewire.KEY, (operation.idempotency_key or ask.id).encode()))
@@ -505,10 +528,10 @@
             ticket = self.engine.take(part)
 
             def outgoing(node: str, attempt: int) -> Outgoing:
-                headers = self._headers(operation, part, None, shard, attempt, None)
+                headers = self._headers(operation, part, None, shard, attempt, None, record.version)
                 return Outgoing("GET", operation.target(), headers)
 
-            part_record = Record(ask=part)
+            part_record = Record(version=record.version, ask=part)
             finals.append(
                 await self._exchange(ticket, outgoing, operation, Nowhere(), connection, part_record)
             )
--- a/winchdyke/objects/storewire.py
+++ b/winchdyke/objects/storewire.py
@@ -10,6 +10,7 @@
 
 REQUEST, ATTEMPT, GATEWAY = b"winchdyke-request", b"winchdyke-attempt", b"winchdyke-gateway"
 CLASS, UNITS, SHARD = b"winchdyke-class", b"winchdyke-units", b"winchdyke-shard"
+VERSION = b"winchdyke-version"  # of the settings that a request was taken under
 KEY, ORDER = b"idempotency-key", b"winchdyke-order-key"
 NOT_RUN, USED, OTHERS, LOAD = (
     b"winchdyke-not-run", b"winchdyke-used-percent", b"winchdyke-from-others", b"winchdyke-load",
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -131,6 +131,7 @@
             "volume": self.volume,
             "units": self.units,
             "method": self.method,
+            "version": int(self.headers.get("winchdyke-version", "0")),
         }
 
 
