Node lists by blocking queries with an index; one that goes back is an older list

Services that publish lists commonly let a client block by an index, which the gateway could not ask for. `nodes, form = index` does: whole lists with X-Index, waited for by the service, asked anew where it goes back. A test follows one, and its restoration.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -591,6 +591,36 @@
     run()
 
 
+def test_a_service_with_blocking_queries_by_an_index_is_followed_and_its_going_back_is_noticed():
+    @played
+    async def run():
+        async with rig(listing=False) as it:
+            from winchdyke.gateway.daemon import Gateway
+
+            await it.list.start(it.group)
+            it.list.by_index = True
+            it.gateway = Gateway(with_nodes(port=it.list.port, by_index=True))
+            ready = anyio.Event()
+            it.group.start_soon(it.gateway.run, ready.set)
+            await ready.wait()
+            belief = it.gateway.membership.belief
+            await it.until(lambda: all(belief.usable(store.name) for store in it.stores))
+            source = it.gateway.membership.sources[0]
+            calls = source.calls
+            await anyio.sleep(0.3)
+            assert source.calls - calls <= 1, "it waits at the service"
+            await it.list.set(it.stores[0].name, "draining", 0, "hall-a")
+            await it.until(lambda: belief.known[it.stores[0].name].state is State.DRAINING)
+            it.list._version, it.list._changes = 2, []
+            it.list._entries[it.stores[0].name]["state"] = "ready"
+            it.list._news.set()
+            it.list._news = anyio.Event()
+            await it.until(lambda: belief.sources["list"].back_since is not None)
+            assert not belief.usable(it.stores[0].name), "an older list does not take back a drain"
+
+    run()
+
+
 SAVING = """
 import sys
 sys.path.insert(0, "tests")
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -521,6 +521,7 @@
             nodes["dns"],
             nodes["vanish_share"],
             nodes["hold"],
+            nodes["form"] == "index",
         ),
         rules=model.Rules(**values["rules", ""]),
         kinds=tuple(kinds),
--- a/winchdyke/config/meaning.py
+++ b/winchdyke/config/meaning.py
@@ -61,7 +61,7 @@
     values["nodes", ""] = {
         "list": (nodes.host, nodes.port, nodes.path), "discovery": "asked" if nodes.must_ask else "pushed",
         "wait": nodes.wait, "timeout": nodes.timeout, "keep": nodes.keep, "file": nodes.file, "srv": nodes.srv,
-        "dns": nodes.dns, "vanish_share": nodes.vanish_share, "hold": nodes.hold,
+        "dns": nodes.dns, "vanish_share": nodes.vanish_share, "hold": nodes.hold, "form": "index" if nodes.by_index else "token",
     }  # fmt: skip
     for name, address in config.listeners:
         values["listener", name] = {"address": address}
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -97,6 +97,7 @@
     dns: str = ""
     vanish_share: float = 0.5
     hold: float = 300_000.0
+    by_index: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -95,6 +95,11 @@
             "discovery": Key(t.OneOf(allowed=("pushed", "asked")), "pushed", "Whether changes come unasked."),
             "wait": _time("10s", "How long a call for news may wait at the service.", 100 * MS, 120 * S),
             "timeout": _time("2s", "How long a call may take beyond that.", 50 * MS, 30 * S, zero=False),
+            "form": Key(
+                t.OneOf(allowed=("token", "index")),
+                "token",
+                "How news is asked for: since a token, or blocking by an index.",
+            ),
             "keep": Key(
                 t.Type(), '""', "A folder of its own where the list is kept for a start without discovery."
             ),
--- a/winchdyke/nodes/sources.py
+++ b/winchdyke/nodes/sources.py
@@ -16,7 +16,7 @@
 from winchdyke import interface as api
 from winchdyke.config.model import Discovery
 from winchdyke.gateway.attempts import LOST
-from winchdyke.http1 import ClientSide, End, Need, ProtocolError
+from winchdyke.http1 import AnswerHead, ClientSide, End, Need, ProtocolError
 from winchdyke.nodes.belief import Entry
 from winchdyke.nodes.wire import Heard, ListError, Reader
 
@@ -68,7 +68,7 @@
 
     def __init__(self, where: Discovery, gateway: str, clock: Callable[[], float]) -> None:
         self._where, self._gateway, self._clock = where, gateway, clock
-        self._reader, self._token = Reader(), ""
+        self._reader, self._token, self._index = Reader(), "", 0
         self._asked = anyio.Event()
         self._allowance = Allowance()
         self.calls = 0
@@ -90,14 +90,16 @@
                         await tell(self.name, heard)
                     await anyio.sleep(max(GAP_S, self._allowance.wait_s(time.monotonic())))
             except (*LOST, ProtocolError, ListError) as error:
-                self._asked, self._token = anyio.Event(), ""
+                self._asked, self._token, self._index = anyio.Event(), "", 0
                 await fail(self.name, str(error) or type(error).__name__)
 
     async def _poll(self) -> Heard | None:
         where = self._where
         wait = where.wait if self._token else 0.0
         target = f"{where.path}?gateway={quote(self._gateway, safe='')}"
-        if self._token:
+        if self._token and where.by_index:
+            target += f"&index={self._index}&wait={wait:.0f}ms"
+        elif self._token:
             target += f"&since={quote(self._token, safe='')}&wait={wait:.0f}"
         self.calls += 1
         with anyio.fail_after((wait + where.timeout) / 1000):
@@ -121,7 +123,21 @@
             raise ListError(f"the list service answered {head.status}")
         heard = self._reader.read(bytes(body), self._clock(), time.time() * 1000)
         self._token = heard.token
-        return heard
+        return heard if not where.by_index else self._indexed(heard, head)
+
+    def _indexed(self, heard: Heard, head: AnswerHead) -> Heard | None:
+        """The whole list at an index, as services with blocking queries tell it; None where nothing changed.
+
+        An index that goes back, or is none, is not waited on: the next call asks anew. The belief hears of it as of a version.
+        """
+        text = (head.get(b"x-index") or "").strip()
+        index = int(text) if text.isdigit() else 0
+        if index == 0:
+            raise ListError(f"the answer's X-Index is {text!r}; it must be a number from 1 on")
+        same, back = index == self._index, index < self._index
+        self._index = 0 if back else index
+        self._token = "" if back else "index"
+        return None if same else heard._replace(kind=api.ListKind.FULL, version=index)
 
     @staticmethod
     async def _receive(stream: anyio.abc.SocketStream) -> bytes:
--- a/winchdyke/standins/nodelist.py
+++ b/winchdyke/standins/nodelist.py
@@ -23,6 +23,7 @@
         self.port = 0
         self.failing = ""  # "": well; "error": answers 500; "silence": says nothing; "down": not listening
         self.late_ms = 0.0
+        self.by_index = False
         self._old: tuple[int, list[dict[str, Any]]] | None = None
         self._epoch = uuid.uuid4().hex[:8]
         self._entries: dict[str, dict[str, Any]] = {}
@@ -85,10 +86,16 @@
         since = query.get("since", "")
         epoch, _, version = since.partition(":")
         known = int(version) if epoch == self._epoch and version.isdigit() else -1
-        if known >= self._version:
-            with anyio.move_on_after(float(query.get("wait", "0")) / 1000):
+        if self.by_index:  # whole lists, and an index to block by
+            known = int(query.get("index", "-1"))
+            if known > self._version:
+                known = -1  # it was restored: at once
+        if known >= self._version >= 0:
+            with anyio.move_on_after(float(query.get("wait", "0").removesuffix("ms")) / 1000):
                 while known >= self._version:
                     await self._news.wait()
+        if self.by_index:
+            known = -1
         if known >= self._version:
             await self._say(peer, 204, b"")
             return
@@ -110,7 +117,7 @@
             "nodes": nodes,
             "version": version_told,
         }
-        await self._say(peer, 200, json.dumps(body).encode())
+        await self._say(peer, 200, json.dumps(body).encode(), version_told)
         states = {entry["name"]: entry["state"] for entry in nodes}
         starts = {entry["name"]: entry["started_unix_ms"] for entry in nodes}
         self.record.note(
@@ -118,7 +125,8 @@
         )
 
     @staticmethod
-    async def _say(peer: Peer, status: int, body: bytes) -> None:
-        headers = [("connection", "close")] + ([("content-length", str(len(body)))] if status != 204 else [])
+    async def _say(peer: Peer, status: int, body: bytes, index: int = 0) -> None:
+        headers = [("connection", "close")] + ([("x-index", str(index))] if index else [])
+        headers += [("content-length", str(len(body)))] if status != 204 else []
         data = [h11.Data(data=body)] if body else []
         await peer.send(h11.Response(status_code=status, headers=headers), *data, h11.EndOfMessage())
