Changes are watched, and undone by themselves where they do harm

A change that passes the checker can still make a course unreachable, and nobody may be looking. What ends is counted by volume and shard; what a change touches is held against the time before it, beside what it does not touch at the same shards, less what a surge explains or a shard with no node left. A large and sure excess undoes the change. Where a limit was lowered, refusals are what was asked for. On loopback a course sent to shards without nodes is back on its old version within 10 s, by itself.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -23,6 +23,7 @@
 from winchdyke.changes.machine import Standing, Step, due, recover, standing
 from winchdyke.changes.swap import retell
 from winchdyke.changes.trail import Trail, TrailError
+from winchdyke.changes.verdict import Watch
 from winchdyke.cli.main import main
 from winchdyke.config import parse
 from winchdyke.policy import Scheduler
@@ -368,3 +369,100 @@
             assert (plans["school"], plans["basic"]) == (3.0, 5.0)
 
     run()
+
+
+# The verdict
+
+
+def watched(**rates: tuple[float, float]) -> Watch:
+    """Ten seconds before and five after, two shards; rates: group -> share of bad before and after."""
+    draw, watch = random.Random(3), Watch()
+    for second in range(100, 116):
+        for volume, (before, after) in rates.items():
+            for _ in range(20):
+                share = after if second > 110 else before
+                watch.ended(
+                    second * 1000.0,
+                    volume,
+                    draw.randrange(2),
+                    "served" if draw.random() >= share else "failed",
+                )
+    return watch
+
+
+def found(watch: Watch, *volumes: str, dead: tuple[int, ...] = ()) -> bool:
+    return watch.verdict(110_000.0, 116_000.0, lambda volume: volume in volumes, dead).bad
+
+
+def test_harm_to_what_a_change_touches_is_seen_and_trouble_that_all_have_is_not_blamed_on_it():
+    assert found(watched(mine=(0.02, 0.5), other=(0.02, 0.02)), "mine")
+    assert not found(watched(mine=(0.02, 0.02), other=(0.02, 0.02)), "mine")
+    assert not found(watched(mine=(0.02, 0.5), other=(0.02, 0.5)), "mine"), "a node's death, a bad hour"
+    assert not found(watched(mine=(0.3, 0.32), other=(0.3, 0.3)), "mine"), "it was so before"
+    assert not found(watched(mine=(0.02, 0.9)), "mine", dead=(0, 1)), "no node is left, which no setting does"
+    assert not found(Watch(), "mine"), "nothing seen is no verdict"
+    lower = Watch()
+    for second in range(100, 116):
+        for number in range(20):
+            lower.ended(second * 1000.0, "mine", 0, "refused" if second > 110 and number else "served")
+    mine = lambda volume: volume == "mine"  # noqa: E731
+    assert lower.verdict(110_000.0, 116_000.0, mine).bad
+    assert not lower.verdict(110_000.0, 116_000.0, mine, (), mine).bad, "a lower limit is meant to refuse"
+
+
+def test_a_surge_is_not_blamed_on_a_change():
+    draw, watch = random.Random(4), Watch()
+    for second in range(100, 116):
+        surge = 3 if second > 110 else 1
+        for _ in range(20 * surge):
+            watch.ended(second * 1000.0, "mine", 0, "served" if draw.random() < 1 / surge else "refused")
+    assert not found(watch, "mine")
+
+
+def test_a_change_that_makes_a_course_unreachable_is_undone_by_itself(tmp_path):
+    """It passes the check: its shard has a node in the list of settings, and none on the floor."""
+
+    @played
+    async def run():
+        async with rig(with_changes(tmp_path), stores=6, unit_ms=2.0) as it:
+            stop = False
+            served: list[tuple[float, bool]] = []
+
+            async def load(volume: str, number: int) -> None:
+                count = 0
+                while not stop:
+                    count += 1
+                    answer = await it.ask("GET", f"/{volume}/k{number}-{count}", winchdyke_time_left="300ms")
+                    if volume == "contest-1":
+                        served.append((it.gateway.engine.clock(), answer.status == 404))
+                    await anyio.sleep(0.01)
+
+            async with anyio.create_task_group() as group:
+                for number in range(4):
+                    group.start_soon(load, "contest-1", number)
+                    group.start_soon(load, "school-1", number)
+                folder = str(tmp_path)
+                await anyio.to_thread.run_sync(
+                    lambda: said("set", folder, "volume", "contest-*", "shards=0-3")
+                )
+                await anyio.to_thread.run_sync(lambda: said("apply", folder, "2"))
+                await anyio.sleep(2.5)
+                assert it.gateway.service.snapshot.version == 2, "it does no harm"
+                it.gateway.live._watched = None
+                await anyio.to_thread.run_sync(
+                    lambda: said("set", folder, "volume", "contest-*", "shards=6-7")
+                )
+                applied = it.gateway.engine.clock()
+                await anyio.to_thread.run_sync(lambda: said("apply", folder, "3"))
+                with anyio.fail_after(10):
+                    while it.gateway.service.snapshot.version != 2:
+                        await anyio.sleep(0.05)
+                undone = it.gateway.engine.clock()
+                assert undone - applied < 10_000
+                await anyio.sleep(0.6)
+                stop = True
+            assert sum(good for at, good in served if at > undone + 350) > 5, "served again"
+            text = await anyio.to_thread.run_sync(lambda: said("log", folder))
+            assert "version 3 does harm" in text and "undone" in text
+
+    run()
--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -14,6 +14,7 @@
 from winchdyke.changes.machine import Step, due, recover
 from winchdyke.changes.swap import difference, fixed
 from winchdyke.changes.trail import Trail, TrailError
+from winchdyke.changes.verdict import Criteria, Watch, lowered, touched
 from winchdyke.config import Config, ConfigError, parse
 
 LOOK_S = 0.1
@@ -23,8 +24,20 @@
 class Live:
     """Follows the trail in a folder. ``swap`` puts settings into service; it runs in the event loop and waits for nothing."""
 
-    def __init__(self, folder: Path, config: Config, swap: Callable[[Config, int], None]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        config: Config,
+        swap: Callable[[Config, int], None],
+        clock: Callable[[], float],
+        dead: Callable[[], set[int]],
+        criteria: Criteria | None = None,
+    ) -> None:
         self.trail, self._config, self._swap = Trail(folder), config, swap
+        self._clock, self._dead, self.watch = clock, dead, Watch(criteria or Criteria())
+        self._watched: tuple[float, int, int, Config, Config] | None = (
+            None  # since, version, before, old, new
+        )
         self._seen = -1
         self._log = structlog.get_logger("changes")
         self.pause_ms = 0.0  # of the last swap
@@ -64,6 +77,8 @@
             await anyio.sleep(LOOK_S)
 
     async def _look(self) -> None:
+        if self._watched is not None:
+            await self._judge(*self._watched)
         last = await anyio.to_thread.run_sync(self.trail.last)
         found = (
             await anyio.to_thread.run_sync(self.trail.standing) if last != self._seen or self._trial else None
@@ -102,12 +117,25 @@
             await self._add(Step("refused", step.version), f"needs a start: {', '.join(needs[:5])}")
             return
         await self._add(step, "")
+        before, old = self.trail.standing().serving, self._config
         self._serve(config, step.version)
+        self._watched = self._clock(), step.version, before, old, config
         await self._add(
             Step("applied", step.version, until_ms=until_ms), f"swapped in {self.pause_ms:.2f} ms"
         )
 
+    async def _judge(self, since: float, version: int, before: int, old: Config, new: Config) -> None:
+        now = self._clock()
+        found = self.watch.verdict(since, now, touched(old, new), self._dead(), lowered(old, new))
+        if found.bad:
+            await self._add(Step("undoing", before), f"version {version} does harm: {found.why}")
+            await self._undo(before)
+        elif now - since >= self.watch.criteria.watch:
+            self._log.info("changes", version=version, verdict="good", why=found.why)
+            self._watched = None
+
     async def _undo(self, version: int) -> None:
+        self._watched = None
         config = await anyio.to_thread.run_sync(self._read, version)
         self._serve(config, version)
         await self._add(Step("undone", version), f"swapped in {self.pause_ms:.2f} ms")
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -88,12 +88,25 @@
         if not self.config.changes.folder:
             return None
         try:
-            live = Live(Path(self.config.changes.folder), self.config, self._swap)
+            live = Live(
+                Path(self.config.changes.folder), self.config, self._swap, self.engine.clock, self._dead
+            )
+            watch, clock = live.watch, self.engine.clock
+            self.service.on_end = lambda volume, shard, outcome: watch.ended(clock(), volume, shard, outcome)
             live.begin()
         except TrailError as error:
             raise StartError(f"{error}; see changes, folder") from error
         return live
 
+    def _dead(self) -> set[int]:
+        """Shards that have no node by the list's or the nodes' own word: no change of settings does that."""
+        usable = {
+            known.shard
+            for known in self.membership.belief.known.values()
+            if self.membership.belief.usable(known.name)
+        }
+        return {known.shard for known in self.membership.belief.known.values()} - usable
+
     def _swap(self, config: Config, version: int) -> None:
         """Other settings from this instant on: nothing else runs while this does."""
         settings = config.settings()
