--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -4,15 +4,17 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
 import anyio.to_thread
 import structlog
 
+from winchdyke import interface as api
 from winchdyke.changes.edit import text_of
 from winchdyke.changes.machine import Step, due, recover
-from winchdyke.changes.swap import difference, fixed
+from winchdyke.changes.swap import difference, fixed, moved
 from winchdyke.changes.trail import Trail, TrailError
 from winchdyke.changes.verdict import Criteria, Watch, lowered, touched
 from winchdyke.config import Config, ConfigError, parse
@@ -21,6 +23,18 @@
 GATEWAY = "gateway"
 
 
+@dataclass(frozen=True)
+class Prepared:
+    """All that a swap needs, made beside the event loop: ``known`` accounts were looked at for it."""
+
+    old: Config
+    config: Config
+    version: int
+    settings: api.Settings
+    plans: dict[str, api.Plan]
+    known: int
+
+
 class Live:
     """Follows the trail in a folder. ``swap`` puts settings into service; it runs in the event loop and waits for nothing."""
 
@@ -28,12 +42,13 @@
         self,
         folder: Path,
         config: Config,
-        swap: Callable[[Config, int], None],
+        swap: Callable[[Prepared], None],
+        accounts: Callable[[], list[str]],
         clock: Callable[[], float],
         dead: Callable[[], set[int]],
         criteria: Criteria | None = None,
     ) -> None:
-        self.trail, self._config, self._swap = Trail(folder), config, swap
+        self.trail, self._config, self._swap, self._accounts = Trail(folder), config, swap, accounts
         self._clock, self._dead, self.watch = clock, dead, Watch(criteria or Criteria())
         self._watched: tuple[float, int, int, Config, Config] | None = (
             None  # since, version, before, old, new
@@ -55,17 +70,22 @@
             self.trail.add(step, GATEWAY, why)
         serving = self.trail.standing().serving
         if serving:
-            self._serve(self._read(serving), serving)
+            self._serve(self._prepare(serving, []))
         self._log.info("changes", version=serving, why=why)
 
     def _read(self, version: int) -> Config:
         return parse(self.trail.version(version).text, f"version {version}")
 
-    def _serve(self, config: Config, version: int) -> None:
+    def _prepare(self, version: int, names: list[str]) -> Prepared:
+        config = self._read(version)
+        plans = moved(self._config, config, names)
+        return Prepared(self._config, config, version, config.settings(), plans, len(names))
+
+    def _serve(self, prepared: Prepared) -> None:
         began = time.perf_counter()
-        self._swap(config, version)
+        self._swap(prepared)
         self.pause_ms = (time.perf_counter() - began) * 1000
-        self._config = config
+        self._config = prepared.config
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -108,7 +128,8 @@
 
     async def _apply(self, step: Step, until_ms: float) -> None:
         try:
-            config = await anyio.to_thread.run_sync(self._read, step.version)
+            prepared = await anyio.to_thread.run_sync(self._prepare, step.version, self._accounts())
+            config = prepared.config
             needs = fixed(difference(self._config, config))
         except ConfigError as error:
             await self._add(Step("refused", step.version), f"does not pass the check: {error}")
@@ -118,7 +139,7 @@
             return
         await self._add(step, "")
         before, old = self.trail.standing().serving, self._config
-        self._serve(config, step.version)
+        self._serve(prepared)
         self._watched = self._clock(), step.version, before, old, config
         await self._add(
             Step("applied", step.version, until_ms=until_ms), f"swapped in {self.pause_ms:.2f} ms"
@@ -136,8 +157,7 @@
 
     async def _undo(self, version: int) -> None:
         self._watched = None
-        config = await anyio.to_thread.run_sync(self._read, version)
-        self._serve(config, version)
+        self._serve(await anyio.to_thread.run_sync(self._prepare, version, self._accounts()))
         await self._add(Step("undone", version), f"swapped in {self.pause_ms:.2f} ms")
 
     async def _add(self, step: Step, note: str) -> None:
--- a/winchdyke/changes/swap.py
+++ b/winchdyke/changes/swap.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Iterable, Mapping
 
 from winchdyke import interface as api
 from winchdyke.config.meaning import Change, diff
@@ -32,20 +32,29 @@
     return diff(old, new)
 
 
-def retell(
-    scheduler: Scheduler, settings: api.Settings, plan_of: Callable[[str], str | None], now: float
-) -> int:
-    """Let a scheduler go by new plans from now on; how many accounts changed their plan."""
+def moved(old: Config, new: Config, names: Iterable[str]) -> dict[str, api.Plan]:
+    """The accounts among ``names`` that a change gives another plan, or other figures of it. Slow: not for the event loop."""
+    before, after = ({plan.name: plan for plan in config.plans} for config in (old, new))
+    found = {}
+    for name in names:
+        was, now = old.volume(name), new.volume(name)
+        plan = after.get(now.plan) if now is not None else None
+        if plan is not None and (was is None or before.get(was.plan) != plan):
+            found[name] = plan
+    return found
+
+
+def retell(scheduler: Scheduler, settings: api.Settings, plans: Mapping[str, api.Plan], now: float) -> int:
+    """Let a scheduler go by new plans from now on, and give accounts the plans that :func:`moved` found; how many."""
     scheduler.cfg = scheduler.budget.cfg = settings
     scheduler.plans = {plan.name: plan for plan in settings.plans}
     changed = 0
-    for name, volume in scheduler.volumes.items():
-        plan = scheduler.plans.get(plan_of(name) or volume.plan.name)
-        volume.cfg = settings
-        if plan is None or plan == volume.plan:
+    for name, plan in plans.items():
+        volume = scheduler.volumes.get(name)
+        if volume is None:
             continue
         volume.refill(now)  # by the old plan up to this instant
-        volume.plan = plan
+        volume.plan, volume.cfg = plan, settings
         volume.limit = min(volume.limit, plan.limit_burst / volume.gateways)
         volume.reserve = min(volume.reserve, (plan.reserve + settings.largest_units) * volume.part)
         changed += 1
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -16,7 +16,8 @@
 from winchdyke import interface as api
 from winchdyke.accounts.ledger import Bounds, Writer
 from winchdyke.accounts.recorder import Recorder
-from winchdyke.changes.live import Live
+from winchdyke.changes.live import Live, Prepared
+from winchdyke.changes.swap import moved
 from winchdyke.changes.trail import TrailError
 from winchdyke.config import Config
 from winchdyke.gateway.clients import ClientConnection
@@ -89,7 +90,12 @@
             return None
         try:
             live = Live(
-                Path(self.config.changes.folder), self.config, self._swap, self.engine.clock, self._dead
+                Path(self.config.changes.folder),
+                self.config,
+                self._swap,
+                self.engine.accounts,
+                self.engine.clock,
+                self._dead,
             )
             watch, clock = live.watch, self.engine.clock
             self.service.on_end = lambda volume, shard, outcome: watch.ended(clock(), volume, shard, outcome)
@@ -107,11 +113,13 @@
         }
         return {known.shard for known in self.membership.belief.known.values()} - usable
 
-    def _swap(self, config: Config, version: int) -> None:
+    def _swap(self, prepared: Prepared) -> None:
         """Other settings from this instant on: nothing else runs while this does."""
-        settings = config.settings()
-        self.service.snapshot = Snapshot(config, version)
-        self.engine.retell(settings, lambda name: getattr(config.volume(name), "plan", None))
+        plans = prepared.plans
+        if new := self.engine.accounts(prepared.known):  # that have come since it was prepared
+            plans = {**plans, **moved(prepared.old, prepared.config, new)}
+        self.service.snapshot = Snapshot(prepared.config, prepared.version)
+        self.engine.retell(prepared.settings, plans)
 
     def _membership(self) -> Membership:
         where, name, clock = self.config.nodes, self.config.gateway.name, self.engine.clock
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -9,7 +9,8 @@
 import heapq
 import time
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from itertools import islice
 from typing import Protocol
 
 import anyio
@@ -115,11 +116,16 @@
         self.observing = True
         self._see()
 
-    def retell(self, settings: api.Settings, plan_of: Callable[[str], str | None]) -> int:
+    def accounts(self, since: int = 0) -> list[str]:
+        """The volumes that have accounts, in order of their coming; those from a place on."""
+        scheduler = self._scheduler
+        return list(islice(scheduler.volumes, since, None)) if isinstance(scheduler, Scheduler) else []
+
+    def retell(self, settings: api.Settings, plans: Mapping[str, api.Plan]) -> int:
         """Go by other plans from the next batch on; how many accounts changed theirs."""
         self.settings = settings
         scheduler = self._scheduler
-        return retell(scheduler, settings, plan_of, self.clock()) if isinstance(scheduler, Scheduler) else 0
+        return retell(scheduler, settings, plans, self.clock()) if isinstance(scheduler, Scheduler) else 0
 
     def _see(self) -> None:
         scheduler = self._scheduler
