`winchdyke model start`: a fleet's start without discovery from the command line

The starts could only be played by a benchmark's script. One start is a command now; a test holds belief against believing outright and waiting. Waits that span a change of settings are checked to add up.

--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -9,31 +9,16 @@
 import statistics
 from pathlib import Path
 
-from winchdyke.model.starts import Start, Starting
-from winchdyke.model.world import Course, Scene
+from winchdyke.model.starts import Start, Starting, fleet
 
 POLICIES = ("belief", "outright", "wait")
 
 
-def scene(gateways: int, stores: int, seed: int, length_ms: float, load: float = 0.5) -> Scene:
-    """Courses that ask for a part of what all stores can do."""
-    rate = load * stores * 2 * 1000 / 10.0 / 2.0  # requests a second of two units, two cores, 10 ms a unit
-    count = 2 * stores
-    courses = tuple(
-        Course(
-            f"course-{n}", rate / count, ("fetch", "fetch", "submit")[n % 3], 2.0, ("school", "basic", "contest")[n % 3],
-            (n % stores, (n + 5) % stores), tuple(sorted({(n * 7 + step) % gateways for step in range(8)})),
-        )
-        for n in range(count)
-    )  # fmt: skip
-    return Scene(courses, gateways=gateways, stores=stores, length_ms=length_ms, seed=seed)
-
-
 def figures(
     gateways: int, stores: int, seed: int, start: Start, length_ms: float
 ) -> tuple[float, float, int, int, int]:
     """Worth in time, first answer, stores pushed over, requests to strangers, most list calls in a second."""
-    world = Starting(scene(gateways, stores, seed, length_ms), start)
+    world = Starting(fleet(gateways, stores, seed, length_ms), start)
     world.run()
     fallen = sum(machine.fallen for machine in world.machines.values())
     misled = sum(machine.misled for machine in world.machines.values())
@@ -101,7 +86,7 @@
     for policy in ("belief", "plain"):
         peaks, back = [], []
         for seed in range(1, seeds + 1):
-            world = Starting(scene(250, 40, seed, 24_000.0, 0.05), Start(policy, 20_000.0, 0.05))
+            world = Starting(fleet(250, 40, seed, 24_000.0, 0.05), Start(policy, 20_000.0, 0.05))
             world.run()
             peaks.append(max(calls for second, calls in world.calls.items() if second >= 2))
             back.append(max(calls for second, calls in world.calls.items() if second >= 20))
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -19,6 +19,7 @@
 from rig import played, rig, settings
 
 from winchdyke import interface as api
+from winchdyke.accounts import ledger
 from winchdyke.changes.edit import edited, rebased, text_of
 from winchdyke.changes.machine import Standing, Step, due, recover, standing
 from winchdyke.changes.swap import moved, retell
@@ -257,11 +258,15 @@
 
 
 def test_changes_under_load_are_applied_at_one_instant_and_undone(tmp_path):
-    """Each answer carries its version, and every attempt at a store carried the same."""
+    """Each answer carries its version, and every attempt at a store carried the same; waits that span a swap add up."""
 
     @played
     async def run():
-        async with rig(with_changes(tmp_path), unit_ms=4.0) as it:
+        config = with_changes(tmp_path)
+        config = dataclasses.replace(
+            config, accounts=dataclasses.replace(config.accounts, folder=str(tmp_path / "waits"))
+        )
+        async with rig(config, unit_ms=4.0) as it:
             versions: dict[str, str] = {}
             stop = False
 
@@ -305,6 +310,13 @@
             assert len(heads) > 50
             assert all(str(seen["version"]) == versions[seen["client"]] for seen in heads)
             assert "in the chain" in await cli("verify", folder)
+            it.gateway.ledger.close()
+            accounts = list(ledger.read([tmp_path / "waits"]))
+            assert len(accounts) > 50
+            assert all(sum(span for _, span in a.spans) == a.latency for a in accounts)
+            assert all(
+                sum(share for *_, share in a.blame) == a.held == sum(a.causes.values()) for a in accounts
+            )
 
     run()
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -86,3 +86,28 @@
     done = CliRunner().invoke(main, ["model", "run", str(file)])
     assert done.exit_code == 1
     assert any(words in done.output for words in said.split("|")), done.output
+
+
+def test_a_fleet_that_starts_without_discovery_serves_from_its_list_and_sends_strangers_nothing():
+    words = [
+        "model",
+        "start",
+        "--gateways",
+        "4",
+        "--stores",
+        "6",
+        "--gone",
+        "0.34",
+        "--fresh",
+        "0.17",
+        "--seconds",
+        "4",
+        "--json",
+    ]
+    run = lambda *more: json.loads(CliRunner().invoke(main, [*words, *more]).output)  # noqa: E731
+    belief, outright, wait = run(), run("--policy", "outright"), run("--policy", "wait")
+    assert belief["to_strangers"] == 0 < outright["to_strangers"]
+    assert belief["pushed_over"] == 0 and belief["first_answer_ms"] < 500
+    assert belief["worth"] > 0 == wait["worth"]
+    assert run("--policy", "wait", "--down", "0")["worth"] >= belief["worth"]
+    assert CliRunner().invoke(main, ["model", "start", "--stores", "0"]).exit_code == 1
--- a/winchdyke/cli/model.py
+++ b/winchdyke/cli/model.py
@@ -34,3 +34,52 @@
     click.echo(
         json.dumps([dataclasses.asdict(row) for row in rows]) if as_json else experiment.table(made, rows)
     )
+
+
+@command.command("start")
+@click.option(
+    "--policy",
+    type=click.Choice(["belief", "outright", "wait", "plain"]),
+    default="belief",
+    show_default=True,
+)
+@click.option("--gateways", default=12, show_default=True)
+@click.option("--stores", default=12, show_default=True)
+@click.option("--down", default=600.0, show_default=True, help="Seconds for which discovery is down.")
+@click.option(
+    "--gone", default=0.05, show_default=True, help="Part of the kept list that is elsewhere by now."
+)
+@click.option("--fresh", default=0.1, show_default=True, help="Part of the nodes that started a moment ago.")
+@click.option(
+    "--load", default=0.5, show_default=True, help="Work that is asked for, of what all stores can do."
+)
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="As JSON.")
+def start(
+    policy: str, gateways: int, stores: int, down: float, gone: float, fresh: float, load: float, seconds: float, seed: int,
+    as_json: bool,
+) -> None:  # fmt: skip
+    """A fleet that starts with a list of its own and discovery down. Simulated; see docs/membership.md."""
+    from winchdyke.model.starts import Start, Starting, fleet
+
+    if min(gateways, stores) < 1 or not 0 <= gone + fresh <= 1 or min(load, seconds) <= 0:
+        raise click.ClickException(
+            "gateways and stores are 1 or more, load and seconds over 0, gone and fresh parts of 1"
+        )
+    world = Starting(
+        fleet(gateways, stores, seed, seconds * 1000, load), Start(policy, down * 1000, gone, fresh)
+    )
+    found = world.run()
+    data = {
+        "requests": len(found), "served": sum(done.outcome == "served" for done in found), "worth": world.worth(seconds * 1000),
+        "first_answer_ms": None if not any(done.outcome == "served" for done in found) else world.first_ms(),
+        "pushed_over": sum(machine.fallen for machine in world.machines.values()),
+        "to_strangers": sum(machine.misled for machine in world.machines.values()),
+        "list_calls_in_a_second": max(world.calls.values(), default=0),
+    }  # fmt: skip
+    click.echo(
+        json.dumps(data)
+        if as_json
+        else "simulated: " + ", ".join(f"{key} {value}" for key, value in data.items())
+    )
--- a/winchdyke/model/starts.py
+++ b/winchdyke/model/starts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 
 from winchdyke import interface as api
-from winchdyke.model.world import CLASSES, PLANS, Scene, World
+from winchdyke.model.world import CLASSES, PLANS, Course, Scene, World
 from winchdyke.nodes.belief import Belief, Bounds, Entry, Known, State, Word
 
 WARM_MS, COLD_FROM, FALL_MULTIPLE, FALL_WINDOW_MS, COLD_UNITS = 10_000.0, 0.2, 3.0, 1500.0, 9.0
@@ -279,3 +279,17 @@
         return min(
             (done.end for done in self.done.values() if done.outcome == "served"), default=float("inf")
         )
+
+
+def fleet(gateways: int, stores: int, seed: int, length_ms: float, load: float = 0.5) -> Scene:
+    """Courses that ask for a part of what all stores can do."""
+    rate = load * stores * 2 * 1000 / 10.0 / 2.0  # requests a second of two units, two cores, 10 ms a unit
+    count = 2 * stores
+    courses = tuple(
+        Course(
+            f"course-{n}", rate / count, ("fetch", "fetch", "submit")[n % 3], 2.0, ("school", "basic", "contest")[n % 3],
+            (n % stores, (n + 5) % stores), tuple(sorted({(n * 7 + step) % gateways for step in range(8)})),
+        )
+        for n in range(count)
+    )  # fmt: skip
+    return Scene(courses, gateways=gateways, stores=stores, length_ms=length_ms, seed=seed)
