--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -97,7 +97,7 @@
         "--stores",
         "6",
         "--gone",
-        "0.34",
+        "0.67",
         "--fresh",
         "0.17",
         "--seconds",
