--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 import random
 import sqlite3
 import subprocess
@@ -27,6 +28,8 @@
 from winchdyke.changes.verdict import Watch
 from winchdyke.cli.main import main
 from winchdyke.config import parse
+from winchdyke.model.changing import Changing
+from winchdyke.model.checker import explore
 from winchdyke.policy import Scheduler
 
 WHOLE = [Step("proposed", 1), Step("staged", 1), Step("applying", 1), Step("applied", 1)]
@@ -226,9 +229,11 @@
 """
 
 
-def test_no_version_that_was_reported_applied_is_lost_by_kills(tmp_path):
+def test_no_version_that_was_reported_applied_is_lost_by_kills(
+    tmp_path, rounds: int = int(os.environ.get("CHANGE_KILLS", "6"))
+):
     draw = random.Random(4)
-    for _ in range(6):
+    for _ in range(rounds):
         process = subprocess.Popen(
             [sys.executable, "-c", KILLED, str(tmp_path)], stdout=subprocess.PIPE, text=True
         )
@@ -479,3 +484,17 @@
             assert "version 3 does harm" in text and "undone" in text
 
     run()
+
+
+# Every interleaving
+
+
+def test_every_interleaving_of_edits_kills_and_time_keeps_what_was_reported_and_serves_one_version_whole():
+    found = explore(Changing())
+    assert found.whole and not found.broken, (found.broken, found.trace)
+    assert found.states > 1000
+
+
+@pytest.mark.parametrize("careless", ["recover", "begin"])
+def test_the_checker_catches_a_start_that_does_not_recover_and_an_apply_that_is_not_written_first(careless):
+    assert explore(Changing(careless=careless)).broken
--- /dev/null
+++ b/winchdyke/model/changing.py
@@ -0,0 +1,156 @@
+"""The world in which changes are checked: two editors, one gateway that can be killed between any two of its steps, and time.
+
+The trail is the only thing that outlives a kill. Each of the gateway's steps is its own: writing "applying", swapping, writing
+"applied", and the same for an undo. Invariants:
+
+    whole      a gateway that has started serves the version that the trail says, and no other
+    kept       a version that was reported applied for good, or confirmed, is served until another is applied or it is undone
+    known      nothing is ever served that was not staged by an editor, or served before
+    trial      what was applied on trial, and not confirmed, is not served once its time is up and the gateway has acted
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable
+from dataclasses import dataclass, replace
+
+from winchdyke.changes.machine import Step, due, recover, standing
+from winchdyke.model.checker import Broken
+
+UNTIL = 2.0
+
+
+@dataclass(frozen=True)
+class Changing:
+    """One state: the trail, what the gateway serves (0: it is down), what it is about to write, versions made, and time."""
+
+    trail: tuple[Step, ...] = (Step("staged", 1), Step("applying", 1), Step("applied", 1))
+    serves: int = 1
+    doing: tuple[str, ...] = ()  # the steps of an apply or an undo that are still to come
+    target: int = 0
+    until: float = 0.0
+    made: int = 1
+    now: float = 1.0
+    kills: int = 2
+    edits: int = 3
+    final: int = 1  # the version last reported applied for good
+    careless: str = ""  # what a mutant leaves out
+
+    def steps(self) -> Iterable[str]:
+        """All that may happen next."""
+        found = standing(self.trail)
+        if self.edits:
+            yield from ("stage", "stage on trial")
+            if found.before:
+                yield "undo"
+        if found.until_ms:
+            yield "confirm"
+            if self.now < UNTIL + 1:
+                yield "time"
+        if self.serves and self.kills:
+            yield "kill"
+        if not self.serves:
+            yield "start"
+        elif self.doing:
+            yield "go on"
+        elif due(found, self.now) is not None:
+            yield "begin"
+
+    def after(self, step: str) -> Changing:
+        """The world one step on."""
+        made: Changing = getattr(self, "_" + step.replace(" ", "_"))()
+        made._check()
+        return made
+
+    def _stage(self, until: float = 0.0) -> Changing:
+        version = self.made + 1
+        return replace(
+            self,
+            trail=(*self.trail, Step("staged", version, until_ms=until)),
+            made=version,
+            edits=self.edits - 1,
+        )
+
+    def _stage_on_trial(self) -> Changing:
+        return self._stage(UNTIL)
+
+    def _undo(self) -> Changing:
+        step = Step("staged", standing(self.trail).before)
+        return replace(self, trail=(*self.trail, step), edits=self.edits - 1)
+
+    def _confirm(self) -> Changing:
+        version = standing(self.trail).serving
+        return replace(self, trail=(*self.trail, Step("confirmed", version)), final=version)
+
+    def _time(self) -> Changing:
+        return replace(self, now=self.now + 1)
+
+    def _kill(self) -> Changing:
+        return replace(self, serves=0, doing=(), target=0, kills=self.kills - 1)
+
+    def _start(self) -> Changing:
+        found = standing(self.trail)
+        added = () if self.careless == "recover" else tuple(recover(found)[0])
+        trail = (*self.trail, *added)
+        serving = standing(trail).serving
+        final = serving if added else self.final
+        return replace(self, trail=trail, serves=serving, final=final)
+
+    def _begin(self) -> Changing:
+        found = standing(self.trail)
+        step = due(found, self.now)
+        assert step is not None
+        undoing = step.what == "undoing"
+        until = 0.0 if undoing else found.staged_until_ms
+        trail = self.trail if self.careless == "begin" else (*self.trail, step)
+        return replace(
+            self, trail=trail, doing=("swap", "undone" if undoing else "applied"), target=step.version, until=until
+        )  # fmt: skip
+
+    def _go_on(self) -> Changing:
+        what, *rest = self.doing
+        if what == "swap":
+            return replace(self, serves=self.target, doing=tuple(rest))
+        step = Step(what, self.target, until_ms=self.until if what == "applied" else 0.0)
+        try:
+            standing(self.trail).after(step)
+        except ValueError as error:
+            raise Broken(f"known: {error}") from error
+        final = self.target if what == "undone" or not self.until else self.final
+        return replace(self, trail=(*self.trail, step), doing=tuple(rest), target=0, final=final)
+
+    def _check(self) -> None:
+        found = standing(self.trail)
+        staged = {step.version for step in self.trail if step.what == "staged"}
+        if self.serves and self.serves not in staged:
+            raise Broken("known: a version is served that nobody staged")
+        if self.serves and not self.doing and self.serves != found.serving:
+            raise Broken("whole: what is served is not what the trail says")
+        if (
+            self.serves
+            and not self.doing
+            and not found.until_ms
+            and not found.applying
+            and self.final != found.serving
+        ):
+            raise Broken(
+                "kept: a version that was reported applied for good is not served, and was not undone"
+            )
+        if self.serves and not self.doing and found.applying:
+            raise Broken("whole: the trail says that a version is being applied, and nobody does")
+
+    def key(self) -> Hashable:
+        """All of it, but for how the trail came to where it stands."""
+        staged = frozenset(step.version for step in self.trail if step.what == "staged")
+        rest = (
+            self.serves,
+            self.doing,
+            self.target,
+            self.until,
+            self.made,
+            self.now,
+            self.kills,
+            self.edits,
+            self.final,
+        )
+        return standing(self.trail), staged, rest
