--- a/winchdyke/days/judge.py
+++ b/winchdyke/days/judge.py
@@ -14,10 +14,11 @@
 from itertools import pairwise
 from typing import Any
 
-from winchdyke.days.script import Class, Day
+from winchdyke.days.script import LARGEST, Class, Day
 
 TRANSIT = 100.0
 Seen = dict[str, Any]
+LOWERED_MS, UNDONE_MS = 5000.0, 10_000.0  # after which a lowered limit holds in sum; in which harm is undone
 RULES = (
     "one final answer, in time", "no effect twice", "drains kept", "no cold store pushed over", "order by key",
     "attempt budget", "limits kept",
@@ -73,8 +74,11 @@
         for seen in self.by_what["gateway-down"]:
             self.kills[seen["gateway"]].append(seen["t"])
 
+    changed: dict[str, float]
+
     def verdict(self) -> Verdict:
         """Judge all seven."""
+        self.changed = {}
         rulings = [
             self.answers(), self.effects(), self.drains(), self.cold(), self.order(), self.budget(), self.limits(),
         ]  # fmt: skip
@@ -365,8 +369,62 @@
             level[head["volume"]] = left, head["t"]
             if left < -plan.slack - plan.limit * TRANSIT / 1000:
                 ruling.breaks(f"{-left:.1f} units past the limit, {plan.slack:g} allowed", head)
+        self._lowered(ruling)
+        self._mixed(ruling)
         return ruling
 
+    def _lowered(self, ruling: Ruling) -> None:
+        """A limit that was lowered in service holds in sum, plus slack, within 5 s from when it was asked for."""
+        changes = [seen for seen in self.by_what["changed"] if seen["how"] == "limit" and seen["version"]]
+        if not changes:
+            return
+        first = min(seen["t"] for seen in self.by_what["changing"] if seen["how"] == "limit")
+        since, limit = max(seen["t"] for seen in changes), changes[0]["limit"]
+        plans = {plan.name: plan for plan in self.day.plans}
+        lowered = {volume.name for volume in self.day.volumes if volume.plan == "basic"}
+        slack, burst, late = plans["basic"].slack, float(LARGEST), 0.0
+        level: dict[str, tuple[float, float]] = {}
+        sent: set[str] = set()
+        for head in self.heads:
+            if head["volume"] not in lowered or head["t"] < since or head["request"] in sent:
+                continue
+            sent.add(head["request"])
+            had, at = level.get(head["volume"], (burst, since))
+            left = min(burst, had + limit * (head["t"] - at) / 1000) - head["units"]
+            if left < -slack:
+                late = max(late, head["t"] - since)
+                if head["t"] > first + LOWERED_MS:
+                    ruling.breaks(
+                        f"past the lowered limit {head['t'] - first:.0f} ms after it was asked for", head
+                    )
+            level[head["volume"]] = left, head["t"]
+        self.changed["lowered limit holds after ms"] = since - first + late
+
+    def _mixed(self, ruling: Ruling) -> None:
+        """No request sees two versions of the settings, neither at stores nor in its answer."""
+        versions: dict[str, int] = {}
+        told = {seen["client"]: seen.get("version", 0) for seen in self.by_what["answer"]}
+        seen_versions: set[int] = set()
+        for head in self.heads:
+            version = versions.setdefault(head["request"], head.get("version", 0))
+            seen_versions.add(version)
+            if head.get("version", 0) != version or told.get(head["client"], version) != version:
+                ruling.breaks("one request under two versions of the settings", head)
+        if len(seen_versions) > 1:
+            self.changed["versions at stores"] = float(len(seen_versions))
+        for change in self.by_what["changed"]:
+            if change["how"] != "unreachable" or not change["version"]:
+                continue
+            bad = [
+                seen["t"] for seen in self.by_what["answer"]
+                if seen.get("version") == int(change["version"]) and seen["outcome"] != "served"
+            ]  # fmt: skip
+            if bad:
+                held = max(bad) - min(bad)
+                self.changed["undone after ms"] = max(self.changed.get("undone after ms", 0.0), held)
+                if held > UNDONE_MS + max((kind.deadline for kind in self.day.classes), default=0.0):
+                    ruling.breaks(f"a change that does harm was served for {held:.0f} ms", change)
+
     def figures(self) -> dict[str, float]:
         """Counts of the day, for people."""
         tries, answers = self.by_what["try"], self.by_what["answer"]
@@ -383,6 +441,7 @@
         waits = sorted(seen["t"] - at[seen["client"]] for seen in served)
         for percent in (50, 99):
             found[f"p{percent} ms"] = waits[int(len(waits) * percent / 100)] if waits else 0.0
+        found |= self.changed
         late = [seen["t"] - tried["deadline"] for seen in answers for tried in [self._try(seen)] if tried]
         found["latest ms"] = max(late, default=0.0)
         return found
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -139,6 +139,8 @@
             await self._on_and_off(event, stores, draw)
         elif event.kind == "gateway-kill":
             await self._kill_gateway(event.on[0] % self.day.gateways, span)
+        elif event.kind == "change":
+            await self._change(event)
         elif event.kind == "own-drain":
             await self._drained_in_place(stores, span)
         elif event.kind == "reuse":
@@ -191,6 +193,33 @@
                 )
             await anyio.sleep(gap)
 
+    async def _change(self, event: script.Event) -> None:
+        """Every gateway is given the same change, each by itself, all of them at about the same time."""
+        if event.how == "limit":
+            words = ["plan", "basic", f"limit={event.size:g} units/s", f"limit_burst={script.LARGEST}"]
+        else:  # a shard that no node has: it passes the checker, and cuts the course off
+            words = ["volume", self.day.volumes[event.on[0]].name, f"shards={self.day.stores + 5}"]
+        self.record.note("day", "changing", how=event.how, limit=event.size)
+
+        async def one(index: int) -> None:
+            folder = str(self.where / f"changes-{index}")
+            said = await self._winchdyke("changes", "set", folder, *words, "--why", event.how)
+            version = said.split()[1].rstrip(",") if said.startswith("version") else ""
+            if version:
+                await self._winchdyke("changes", "apply", folder, version)
+            self.record.note(
+                "day", "changed", gateway=f"gateway-{index}", how=event.how, limit=event.size, version=version
+            )
+
+        async with anyio.create_task_group() as group:
+            for index in range(self.day.gateways):
+                group.start_soon(one, index)
+
+    @staticmethod
+    async def _winchdyke(*words: str) -> str:
+        done = await anyio.run_process([sys.executable, "-m", "winchdyke", *words], check=False)
+        return (done.stdout + done.stderr).decode(errors="replace")
+
     async def _drained_in_place(self, stores: list[Store], span: float) -> None:
         """Each says itself that it drains, ends, and starts anew at its address, cold."""
         for store in stores:
--- a/winchdyke/days/script.py
+++ b/winchdyke/days/script.py
@@ -12,7 +12,7 @@
 
 Trouble = Literal[
     "deploy", "silent", "lost", "slow", "pauses", "neighbour", "crash", "burst", "gateway-kill", "list-down",
-    "leave-upload", "leave-download", "hurry", "own-drain", "reuse",
+    "leave-upload", "leave-download", "hurry", "own-drain", "reuse", "change",
 ]  # fmt: skip
 
 
@@ -105,6 +105,7 @@
     late_list: float = 300.0
     must_ask: bool = False
     keeps: bool = False  # whether gateways keep the node list on their disks
+    changes: bool = False  # whether their settings are changed in service
     carried_not: list[str] = []
 
 
@@ -188,7 +189,23 @@
     return msgspec.structs.replace(day, name="blind-day", events=events, keeps=True)
 
 
-DAYS = {"bad-day": bad_day, "quiet-day": quiet_day, "blind-day": blind_day}
+def change_day(seed: int, length: float = 24_000.0) -> Day:
+    """Settings change in service at three gateways: a limit is lowered, a course made unreachable, one killed meanwhile."""
+    day = bad_day(seed, length, rate=140.0)
+    draw = random.Random(f"change/{seed}")
+    part = length / 24
+    course = draw.choice([at for at, volume in enumerate(day.volumes) if volume.plan == "contest"])
+    shard = draw.randrange(day.stores)
+    events = [
+        Event("slow", 3 * part, 3 * part, [shard], draw.uniform(3, 6)),
+        Event("change", 6 * part, 0.0, [], 4.0, "limit"),
+        Event("change", 13 * part, 0.0, [course], 0.0, "unreachable"),
+        Event("gateway-kill", 21 * part, 1 * part, [draw.randrange(day.gateways)]),
+    ]
+    return msgspec.structs.replace(day, name="change-day", events=events, changes=True)
+
+
+DAYS = {"bad-day": bad_day, "quiet-day": quiet_day, "blind-day": blind_day, "change-day": change_day}
 
 
 def _active(day: Day, kind: str, at: float) -> Event | None:
@@ -320,4 +337,6 @@
         "".join([f"{title} {{\n", *(f"    {key} = {value}\n" for key, value in keys.items()), "}\n"])
         for title, keys in blocks
     ]
+    if day.changes:
+        texts.append(f'changes {{\n    folder = "{Path(port_file).parent}/changes-{index}"\n}}\n')
     return "\n".join(texts) + more
--- a/winchdyke/standins/clients.py
+++ b/winchdyke/standins/clients.py
@@ -171,7 +171,7 @@
         fields = {name.decode(): value.decode("latin-1") for name, value in head.headers}
         right = self._right(wish, head.status_code, bytes(got))
         self.record.note(
-            "client", "answer", status=head.status_code, right=right, bytes=len(got),
+            "client", "answer", version=_version(head), status=head.status_code, right=right, bytes=len(got),
             outcome=fields.get("winchdyke-outcome", "-"), reason=fields.get("winchdyke-reason", "-"),
             request=fields.get("x-request-id", "-"), **told,
         )  # fmt: skip
@@ -191,3 +191,9 @@
             assert wish.range is not None
             return bytes(got) == content(wish.path, len(got), wish.range[0])
         return bytes(got) == content(wish.path, len(got))
+
+
+def _version(head: h11.Response) -> int:
+    """The version of the settings that an answer was given under; 0 where it tells none."""
+    text = dict(head.headers).get(b"winchdyke-version", b"0")
+    return int(text) if text.isdigit() else 0
