The verdict tells a shard's own trouble by what is untouched there, and lets no shard make up for another

Shards at which untouched requests became slower or failed more, and to which no more is sent than before, are left out; each shard's excess counts alone.

--- a/benchmarks/verdict.py
+++ b/benchmarks/verdict.py
@@ -27,7 +27,7 @@
     """A world with a shard that has no node."""
 
 
-def day(seed: int) -> tuple[bool, str, list[tuple[float, str, int, str]]]:
+def day(seed: int) -> tuple[bool, str, list[tuple[float, str, int, str, float]]]:
     """Whether the change was bad, what was rough, and what ended: when, whose, at which shard, how."""
     draw = random.Random(seed)
     bad, rough = bool(seed % 2), draw.choice(("surge", "slow", "burst", "calm"))
@@ -73,21 +73,27 @@
     world = Holed(scene)
     shards = {request.id: request.shard for _, request in world.arrivals()}
     ended = [
-        (done.end, "mine" if done.course.startswith("mine") else done.course, shards[done.id], done.outcome)
+        (
+            done.end,
+            "mine" if done.course.startswith("mine") else done.course,
+            shards[done.id],
+            done.outcome,
+            done.latency,
+        )
         for done in world.run()
     ]
     return bad, rough, sorted(ended)
 
 
-def judged(ended: list[tuple[float, str, int, str]], criteria: Criteria) -> float | None:
+def judged(ended: list[tuple[float, str, int, str, float]], criteria: Criteria) -> float | None:
     """After how many milliseconds the change was undone; None where it was not."""
     watch, at = Watch(criteria), 0
     now = APPLIED
     while now < APPLIED + criteria.watch:
         now += 250.0
         while at < len(ended) and ended[at][0] <= now:
-            end, volume, shard, outcome = ended[at]
-            watch.ended(end, volume, shard, outcome)
+            end, volume, shard, outcome, took = ended[at]
+            watch.ended(end, volume, shard, outcome, took)
             at += 1
         if watch.verdict(APPLIED, now, lambda volume: volume == "mine").bad:
             return now - APPLIED
--- a/winchdyke/changes/verdict.py
+++ b/winchdyke/changes/verdict.py
@@ -19,6 +19,13 @@
 
 from winchdyke.config.model import Config
 
+SLOWER, TROUBLE = (
+    2.0,
+    0.05,
+)  # of what is untouched: latency times so much, or so much more of it bad, is the shard's trouble
+MOVED = 1.5  # times as much as before sent to a shard is the change's own doing, or a surge's
+LIKELY = 2.0  # standard errors from which on a shard's excess counts
+
 
 @dataclass(frozen=True, slots=True)
 class Criteria:
@@ -37,6 +44,7 @@
 
     ended: Counter[int] = field(default_factory=Counter)
     bad: Counter[int] = field(default_factory=Counter)
+    taken: Counter[int] = field(default_factory=Counter)  # milliseconds that the good ones took
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,15 +64,18 @@
     def __init__(self, criteria: Criteria = Criteria()) -> None:
         self.criteria = criteria
         self._seconds: defaultdict[int, Counter[tuple[str, int, str]]] = defaultdict(Counter)
+        self._taken: defaultdict[int, Counter[tuple[str, int, str]]] = defaultdict(Counter)
 
-    def ended(self, now: float, volume: str, shard: int, outcome: str) -> None:
-        """A request of a volume ended: served, refused or failed; a listing has shard -1."""
+    def ended(self, now: float, volume: str, shard: int, outcome: str, took: float = 0.0) -> None:
+        """A request of a volume ended: served, refused or failed, after so many ms; a listing has shard -1."""
         second = int(now // 1000)
         if second not in self._seconds:
             oldest = second - int((self.criteria.before + self.criteria.watch) // 1000) - 2
             for old in [at for at in self._seconds if at < oldest]:
                 del self._seconds[old]
+                self._taken.pop(old, None)
         self._seconds[second][volume, shard, outcome] += 1
+        self._taken[second][volume, shard, outcome] += took  # type: ignore[assignment]
 
     def verdict(
         self, applied: float, now: float, touched: Callable[[str], bool], dead: Iterable[int] = (),
@@ -84,6 +95,8 @@
                     group = groups[touched(volume), second > at]
                     group.ended[shard] += count
                     group.bad[shard] += 0 if good else count
+                    if outcome == "served":
+                        group.taken[shard] += self._taken[second][volume, shard, outcome]
         kept = [second for second in self._seconds if since <= second < at]
         spans = max(1.0, len(kept)), max(1.0, now / 1000 - at - 1)
         return judged(groups, spans, self.criteria, frozenset(dead))
@@ -98,30 +111,41 @@
     """Before and after, touched and not (keys: touched, after), over so many seconds each."""
     mine0, mine1 = groups[True, False], groups[True, True]
     other0, other1 = groups[False, False], groups[False, True]
-    seen = wrong = expected = variance = 0.0
+    seen = wrong = expected = over = variance = 0.0
     for shard, count in mine1.ended.items():
         if shard in dead:
             continue
         before = _share(mine0, shard)
-        rise = max(0.0, _share(other1, shard) - _share(other0, shard)) if other1.ended[shard] >= 5 else 0.0
+        rise = _share(other1, shard) - _share(other0, shard) if other1.ended[shard] >= 5 else 0.0
         surge = (count / spans[1]) / max(1e-9, mine0.ended[shard] / spans[0]) if mine0.ended[shard] else 1.0
+        slower = _mean(other1, shard) > SLOWER * _mean(other0, shard) > 0
+        if (slower or rise > TROUBLE) and mine0.ended[shard] and surge < MOVED:
+            continue  # a trouble of the shard's own: what was sent there before still is, and others suffer too
         by_surge = 1 - (1 - before) / surge if surge > 1 else 0.0
-        base = min(1.0, max(before + rise, by_surge))
+        base = min(1.0, max(before + max(0.0, rise), by_surge))
         seen += count
         wrong += mine1.bad[shard]
         expected += base * count
         spread = min(0.25, max(base * (1 - base), 0.01))
-        known = max(1, mine0.ended[shard])
-        variance += spread * count + spread * count * count / known
+        mine = spread * count + spread * count * count / max(1, mine0.ended[shard])
+        more = mine1.bad[shard] - base * count
+        if more > LIKELY * math.sqrt(mine):  # a shard that fares better than expected makes up for no other
+            over += more
+            variance += mine
     samples = int(seen)
     if samples < criteria.samples:
         return Verdict(False, f"{samples} requests so far; {criteria.samples} are needed", samples=samples)
-    excess = (wrong - expected) / seen
-    sure = (wrong - expected) / math.sqrt(variance)
+    excess = over / seen
+    sure = over / math.sqrt(variance) if variance else 0.0
     said = f"{wrong / seen:.0%} of {samples} requests refused or failed, {expected / seen:.0%} expected"
     return Verdict(excess > criteria.excess and sure > criteria.sure, said, excess, sure, samples)
 
 
+def _mean(counts: Counts, shard: int) -> float:
+    served = counts.ended[shard] - counts.bad[shard]
+    return counts.taken[shard] / served if served >= 5 else 0.0
+
+
 def _share(counts: Counts, shard: int) -> float:
     return (counts.bad[shard] + 0.5) / (counts.ended[shard] + 1.0) if counts.ended[shard] else 0.0
 
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -98,7 +98,9 @@
                 self._dead,
             )
             watch, clock = live.watch, self.engine.clock
-            self.service.on_end = lambda volume, shard, outcome: watch.ended(clock(), volume, shard, outcome)
+            self.service.on_end = lambda volume, shard, outcome, took: watch.ended(
+                clock(), volume, shard, outcome, took
+            )
             live.begin()
         except TrailError as error:
             raise StartError(f"{error}; see changes, folder") from error
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -106,7 +106,7 @@
         self.recorder = recorder
         self.on_word: Callable[[str, Word], bool] = lambda *_: True
         self.on_refused: Callable[[str], None] = lambda _: None
-        self.on_end: Callable[[str, int, str], None] | None = None
+        self.on_end: Callable[[str, int, str, float], None] | None = None
         self.config, self.engine, self.pool, self.clock = config, engine, pool, clock
         self.bodies = BodyStore(config.limits.body_total, config.limits.body_memory)
         self.stopping = False
@@ -156,7 +156,7 @@
         finally:
             if self.on_end is not None and operation is not None and final.outcome != "gone":
                 shard = record.ask.shard if record.ask is not None else -1
-                self.on_end(operation.volume, shard, final.outcome)
+                self.on_end(operation.volume, shard, final.outcome, self.clock() - began)
             self._account(operation, kind, head, request, final, record)
             self._access(connection, head, operation, kind, request, final, record, began)
 
