A stop answers what has arrived and was not yet read, and whom the host had let in

An idle connection with bytes waiting is answered first, and what waits at the listener is accepted before it closes.

--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -90,7 +90,11 @@
     def hang_up(self) -> None:
         """Close where nothing is under way; else after the answer."""
         self.close_after = True
-        if self.idle:
+        # Guards against cutting off a request that has arrived and was not yet read, on a host that is behind: it is
+        # answered first. What is on its way as the socket closes is cut still, as HTTP allows.
+        waiting = select.poll()
+        waiting.register(self._stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
+        if self.idle and not any(event & select.POLLIN for _, event in waiting.poll(0)):
             self._scope.cancel()
 
     async def _serve(self, handle: Callable[[ClientConnection, RequestHead], Awaitable[None]]) -> None:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -31,6 +31,7 @@
 from winchdyke.nodes.sources import FileSource, HttpSource, Source, SrvSource
 from winchdyke.objects import answers, storewire
 
+LAST_ACCEPT_S = 0.01  # at a stop, for connections that wait to be accepted
 ACCEPT_PAUSE_S = 0.05  # before the next accept where no descriptor is left
 STOP_SLACK_S = 1.0  # beyond the longest deadline, for what is still out at a stop
 BACKLOG = 1024
@@ -242,6 +243,14 @@
                         continue
                     _hold_back(stream)
                     group.start_soon(self._connection, stream)
+            # Guards against a reset for those whom the host had let in and this gateway not yet, on a host that is behind.
+            while True:
+                with anyio.move_on_after(LAST_ACCEPT_S) as none_left:
+                    stream = await listener.accept()
+                    _hold_back(stream)
+                    group.start_soon(self._connection, stream)
+                if none_left.cancelled_caught:
+                    return
 
     async def _connection(self, stream: SocketStream) -> None:
         connection = ClientConnection(stream, self.config.limits, self.engine.clock)
@@ -252,6 +261,8 @@
             await connection.refuse(*answers.error(503, "refused", "too-many-connections", "-", text, after))
             return
         self._connections.add(connection)
+        if self.service.stopping:
+            connection.hang_up()
         try:
             await connection.run(self.service.handle)
         except Exception as error:
