--- a/winchdyke/changes/verdict.py
+++ b/winchdyke/changes/verdict.py
@@ -33,7 +33,7 @@
 
     watch: float = 10_000.0  # for which a change is watched
     before: float = 30_000.0  # that is held against it
-    samples: int = 30  # of the touched, before anything is said
+    samples: int = 10  # of the touched, before anything is said
     excess: float = 0.02  # of their requests refused or failed beyond what was expected
     sure: float = 4.0  # standard errors that the excess must be from none
 
