--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -498,3 +498,14 @@
 @pytest.mark.parametrize("careless", ["recover", "begin"])
 def test_the_checker_catches_a_start_that_does_not_recover_and_an_apply_that_is_not_written_first(careless):
     assert explore(Changing(careless=careless)).broken
+
+
+def test_a_short_change_day_keeps_all_seven_rules_and_shows_no_mix():
+    from winchdyke.days import script
+    from winchdyke.days.run import run_day
+
+    verdict, seen, ends = run_day(script.change_day(2, length=14_000.0))
+    assert verdict.kept and ends == [0, 0, 0], [ruling.broken[:2] for ruling in verdict.rulings]
+    changed = [each for each in seen if each["what"] == "changed"]
+    assert len(changed) == 6 and all(each["version"] for each in changed)
+    assert len({each["version"] for each in seen if each["what"] == "head"}) >= 2
