`winchdyke changes blame`, `export` and `import`

Who changed a value last could only be read out of the log, and a trail could not be moved with its chain. A taken-in export must fit its own hashes, or nothing of it is kept.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -509,3 +509,28 @@
     changed = [each for each in seen if each["what"] == "changed"]
     assert len(changed) == 6 and all(each["version"] for each in changed)
     assert len({each["version"] for each in seen if each["what"] == "head"}) >= 2
+
+
+def test_who_changed_what_last_and_a_trail_that_is_taken_elsewhere(tmp_path):
+    trail = Trail(tmp_path / "a")
+    for number, (who, what) in enumerate(
+        [("ann", "plan.school.weight"), ("bob", "plan.school.weight"), ("eve", "plan.basic.limit")]
+    ):
+        version = trail.propose("text", number, f'[{{"path": "{what}"}}]', who, "why", "here")
+        for step in ("staged", "applying", "applied") if who != "eve" else ():
+            trail.add(Step(step, version), "gateway")
+    folder = str(tmp_path / "a")
+    blamed = said("blame", folder)
+    assert "bob" in blamed and "ann" not in blamed and "eve" not in blamed, "what was not applied is nobody's"
+    assert said("blame", folder, "plan.basic") == ""
+    text = said("export", folder)
+    file = tmp_path / "export"
+    file.write_text(text)
+    assert "9 entries" in said("import", str(tmp_path / "b"), str(file))
+    assert said("export", str(tmp_path / "b")) == text
+    assert "is not empty" in said("import", folder, str(file), ends=1)
+    file.write_text(text.replace("ann", "eva"))
+    assert "does not fit" in said("import", str(tmp_path / "c"), str(file), ends=1)
+    file.write_text("no json\n")
+    assert "line 1" in said("import", str(tmp_path / "d"), str(file), ends=1)
+    assert Trail(tmp_path / "c").last() == 0, "nothing of it was kept"
--- a/winchdyke/changes/trail.py
+++ b/winchdyke/changes/trail.py
@@ -11,7 +11,7 @@
 import os
 import sqlite3
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -179,19 +179,60 @@
             raise TrailError(f"there is no version {number}; see 'winchdyke changes log'")
         return Version(*row)
 
+    def blame(self) -> dict[str, Entry]:
+        """For each value that was ever changed and applied (``kind.name.key``), the entry of its last change, by who asked."""
+        entries = self.entries()
+        proposed = {entry.version: entry for entry in entries if entry.what == "proposed"}
+        found: dict[str, Entry] = {}
+        for entry in entries:
+            if entry.what in ("applied", "undone") and entry.version in proposed:
+                asked = proposed[entry.version] if entry.what == "applied" else entry
+                for change in json.loads(self.version(entry.version).difference):
+                    found[change["path"]] = asked
+        return found
+
+    def export(self) -> Iterator[str]:
+        """All of it as lines of JSON: the versions, then the trail with its hashes."""
+        with self._open() as db:
+            for row in db.execute("SELECT id, parent, text, difference FROM versions ORDER BY id").fetchall():
+                yield json.dumps({"version": row}, ensure_ascii=False)
+            for row in db.execute("SELECT * FROM trail ORDER BY seq").fetchall():
+                yield json.dumps({"entry": row}, ensure_ascii=False)
+
+    def take_in(self, lines: Iterable[str]) -> int:
+        """What was exported, into a trail that is empty; TrailError where it is not, or the chain does not fit."""
+        with self._writing() as db:
+            if db.execute("SELECT COUNT(*) FROM trail").fetchone()[0]:
+                raise TrailError(f"{self.path} is not empty; take it in at a folder of its own")
+            for number, line in enumerate(lines, 1):
+                try:
+                    found = json.loads(line)
+                    if "version" in found:
+                        db.execute("INSERT INTO versions VALUES (?, ?, ?, ?)", found["version"])
+                    else:
+                        db.execute("INSERT INTO trail VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", found["entry"])
+                except (ValueError, KeyError, TypeError, sqlite3.Error) as error:
+                    raise TrailError(f"line {number} is no line of an export: {error}") from error
+            if said := self._unfit(db):
+                raise TrailError(f"the export does not fit together: {said[0]}")
+            return int(db.execute("SELECT COUNT(*) FROM trail").fetchone()[0])
+
     def verify(self) -> list[str]:
         """What does not fit in the chain, in words; nothing where all does."""
-        said: list[str] = []
         with self._open() as db:
-            before, seq = "", 0
-            for row in db.execute("SELECT * FROM trail ORDER BY seq").fetchall():
-                entry = Entry(*row)
-                if entry.seq != seq + 1:
-                    said.append(f"entry {seq + 1} is missing before {entry.seq}")
-                content = self._content(db, Step(entry.what, entry.version))
-                if _hash(before, tuple(row[:-1]), content) != entry.hash:
-                    said.append(
-                        f"entry {entry.seq} ({entry.what} {entry.version}) was altered, or one before it is not there"
-                    )
-                before, seq = entry.hash, entry.seq
+            return self._unfit(db)
+
+    def _unfit(self, db: sqlite3.Connection) -> list[str]:
+        said: list[str] = []
+        before, seq = "", 0
+        for row in db.execute("SELECT * FROM trail ORDER BY seq").fetchall():
+            entry = Entry(*row)
+            if entry.seq != seq + 1:
+                said.append(f"entry {seq + 1} is missing before {entry.seq}")
+            content = self._content(db, Step(entry.what, entry.version))
+            if _hash(before, tuple(row[:-1]), content) != entry.hash:
+                said.append(
+                    f"entry {entry.seq} ({entry.what} {entry.version}) was altered, or one before it is not there"
+                )
+            before, seq = entry.hash, entry.seq
         return said
--- a/winchdyke/cli/changes.py
+++ b/winchdyke/cli/changes.py
@@ -260,3 +260,31 @@
     if said:
         raise SystemExit(1)
     click.echo(f"{_failing(trail.last)} entries, all in the chain")
+
+
+@command.command("blame")
+@FOLDER
+@click.argument("path", required=False, metavar="[KIND.NAME[.KEY]]")
+def blame(folder: Path, path: str | None) -> None:
+    """Who changed each value last, in which version, and why."""
+    for name, entry in sorted(_failing(_trail(folder).blame).items()):
+        if path is None or name == path or name.startswith(path + "."):
+            when = datetime.fromtimestamp(entry.unix_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M:%S")
+            click.echo(f"{name:40} version {entry.version:4} {when} {entry.who:12} {entry.note}".rstrip())
+
+
+@command.command("export")
+@FOLDER
+def export(folder: Path) -> None:
+    """All versions and the trail as lines of JSON."""
+    for line in _failing(lambda: list(_trail(folder).export())):
+        click.echo(line)
+
+
+@command.command("import")
+@FOLDER
+@click.argument("file", type=click.File(encoding="utf-8"))
+def take_in(folder: Path, file: Any) -> None:
+    """Take in an export at a FOLDER that has none; its hash chain must fit."""
+    count = _failing(_trail(folder, create=True).take_in, file)
+    click.echo(f"{count} entries, all in the chain")
