--- a/winchdyke/changes/verdict.py
+++ b/winchdyke/changes/verdict.py
@@ -115,6 +115,8 @@
     for shard, count in mine1.ended.items():
         if shard in dead:
             continue
+        if other0.ended[shard] - other0.bad[shard] >= 5 and other1.ended[shard] - other1.bad[shard] < 5:
+            continue  # those who would tell a trouble of the shard's own have not been heard yet
         before = _share(mine0, shard)
         rise = _share(other1, shard) - _share(other0, shard) if other1.ended[shard] >= 5 else 0.0
         surge = (count / spans[1]) / max(1e-9, mine0.ended[shard] / spans[0]) if mine0.ended[shard] else 1.0
--- a/winchdyke/days/judge.py
+++ b/winchdyke/days/judge.py
@@ -418,6 +418,7 @@
             bad = [
                 seen["t"] for seen in self.by_what["answer"]
                 if seen.get("version") == int(change["version"]) and seen["outcome"] != "served"
+                and seen["path"].startswith(f"/{change['volume']}/")
             ]  # fmt: skip
             if bad:
                 held = max(bad) - min(bad)
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -207,8 +207,15 @@
             version = said.split()[1].rstrip(",") if said.startswith("version") else ""
             if version:
                 await self._winchdyke("changes", "apply", folder, version)
+            course = self.day.volumes[event.on[0]].name if event.on else ""
             self.record.note(
-                "day", "changed", gateway=f"gateway-{index}", how=event.how, limit=event.size, version=version
+                "day",
+                "changed",
+                gateway=f"gateway-{index}",
+                how=event.how,
+                limit=event.size,
+                version=version,
+                volume=course,
             )
 
         async with anyio.create_task_group() as group:
