--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -138,7 +138,10 @@
 def test_dev_serves_and_a_stop_ends_it_with_0():
     process, url = started("dev", "--quiet")
     try:
-        assert call(f"{url}/school-1/a", b"hello", "PUT")[0] == 201
+        until = time.monotonic() + 5  # its first list may still be on its way
+        while call(f"{url}/school-1/a", b"hello", "PUT")[0] != 201:
+            assert time.monotonic() < until
+            time.sleep(0.05)
         assert call(f"{url}/school-1/a") == (200, b"hello")
         assert json.loads(call(f"{url}/nowhere/../a")[1])["reason"] == "bad-path"
         process.send_signal(signal.SIGTERM)
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -31,6 +31,7 @@
 from winchdyke.nodes.sources import FileSource, HttpSource, Source, SrvSource
 from winchdyke.objects import answers, storewire
 
+LAST_WORD_S = 0.1  # at a stop, before connections at rest are closed
 LAST_ACCEPT_S = 0.01  # at a stop, for connections that wait to be accepted
 ACCEPT_PAUSE_S = 0.05  # before the next accept where no descriptor is left
 STOP_SLACK_S = 1.0  # beyond the longest deadline, for what is still out at a stop
@@ -261,8 +262,6 @@
             await connection.refuse(*answers.error(503, "refused", "too-many-connections", "-", text, after))
             return
         self._connections.add(connection)
-        if self.service.stopping:
-            connection.hang_up()
         try:
             await connection.run(self.service.handle)
         except Exception as error:
@@ -286,11 +285,12 @@
 
     async def _drain(self) -> None:
         self.service.stopping = True
-        for connection in list(self._connections):
-            connection.hang_up()
+        await anyio.sleep(LAST_WORD_S)  # for requests that are on their way
         longest = max(kind.rules.deadline_ms for kind in self.config.kinds) / 1000
         with anyio.move_on_after(longest + STOP_SLACK_S):
             while self._connections:
+                for connection in list(self._connections):
+                    connection.hang_up()
                 await anyio.sleep(0.01)
         if self._connections:
             self._log.warning("stop-cut", connections=len(self._connections))
--- a/winchdyke/gateway/pool.py
+++ b/winchdyke/gateway/pool.py
@@ -14,6 +14,9 @@
 
 NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 ANSWER_HEAD = 64 * 1024
+GREET_MS = (
+    1000.0  # for a store's word on who it is, where connecting has less: a host that is behind is not gone
+)
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -112,7 +115,7 @@
     async def _greeted(self, connection: Connection) -> None:
         assert self.greet is not None
         try:
-            with anyio.fail_after(self.connect_ms / 1000):
+            with anyio.fail_after(max(self.connect_ms, GREET_MS) / 1000):
                 await self.greet(connection)
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, ProtocolError) as error:
             await connection.close()
