An undo that was asked for is done once

It stayed staged after it was done, so the gateway undid it ten times a second for good, and 'undo' of the undo had nothing to go back to. An undo takes its version off the stage as an apply does; both go through one step. A test holds it.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -82,6 +82,15 @@
     assert found.serving in applied | {found.before} and not found.applying and not found.until_ms
 
 
+def test_an_undo_that_was_asked_for_is_done_once():
+    """It stayed staged, and was done over and over."""
+    steps = [*WHOLE, Step("staged", 2), Step("applying", 2), Step("applied", 2), Step("staged", 1)]
+    found = standing([*steps, Step("undoing", 1), Step("undone", 1)])
+    assert due(found, 0.0) is None and (found.serving, found.before) == (1, 2)
+    newer = standing([*steps[:-1], Step("staged", 3), Step("undoing", 1), Step("undone", 1)])
+    assert due(newer, 0.0) == Step("applying", 3), "what was staged meanwhile is still to be applied"
+
+
 def test_what_is_due():
     assert due(Standing(serving=1, staged=2), 0.0) == Step("applying", 2)
     assert due(Standing(serving=2, before=1, until_ms=100.0), 99.0) is None
--- a/winchdyke/changes/machine.py
+++ b/winchdyke/changes/machine.py
@@ -41,8 +41,8 @@
             return replace(self, staged=step.version, staged_until_ms=step.until_ms)
         if step.what == "refused" and step.version == self.staged:
             return replace(self, staged=0)
-        if step.what == "applying":
-            if self.applying:
+        if step.what in ("applying", "undoing"):
+            if self.applying and step.what == "applying":
                 raise ValueError(f"version {step.version} is applied while {self.applying} still is")
             return replace(
                 self, staged=0 if step.version == self.staged else self.staged, applying=step.version
@@ -55,8 +55,6 @@
             )
         if step.what == "confirmed":
             return replace(self, until_ms=0.0)
-        if step.what == "undoing":
-            return replace(self, applying=step.version)
         if step.what == "undone":
             return replace(self, serving=step.version, applying=0, before=self.serving, until_ms=0.0)
         if step.what in STEPS:
