One sync of a folder for three copies; no file is read in the loop at a swap

Three places synced a folder with the same lines, and swap.difference was meaning.diff under another name. An apply read the trail on the event loop just before the swap for a version that its caller knew.

--- a/benchmarks/swap.py
+++ b/benchmarks/swap.py
@@ -17,8 +17,9 @@
 
 from winchdyke import interface as api
 from winchdyke.changes.edit import text_of
-from winchdyke.changes.swap import difference, moved
+from winchdyke.changes.swap import moved
 from winchdyke.config import Config, defaults, parse
+from winchdyke.config.meaning import diff
 from winchdyke.gateway.engine import Engine
 from winchdyke.gateway.service import Snapshot
 
@@ -45,9 +46,7 @@
     at = text.index("volume course")
     one = parse(text[:at] + text[at:].replace("plan = basic", "plan = school", 1))
     every = parse(text[:at] + text[at:].replace("plan = basic", "plan = school"))
-    print(
-        f"{len(names)} volumes; {len(difference(base, one))} and {len(difference(base, every))} values changed"
-    )
+    print(f"{len(names)} volumes; {len(diff(base, one))} and {len(diff(base, every))} values changed")
     engine = Engine(base.settings(), 1)
     for number, name in enumerate(names):
         engine.take(api.Request(f"r{number}", "fetch", "basic", name, f"k{number}", 1.0, 0, 1, 3000.0))
--- a/winchdyke/accounts/compact.py
+++ b/winchdyke/accounts/compact.py
@@ -17,6 +17,7 @@
 
 from winchdyke.accounts.ledger import ENDING, HEAD, SUMS_ENDING, Recovered, framed, read
 from winchdyke.accounts.sums import summed_up
+from winchdyke.files import sync_folder
 
 DETAIL_PART = (
     0.75  # of the bytes in all that accounts may have; the rest is for sums and the segment being written
@@ -35,10 +36,10 @@
     losses: list[str] = field(default_factory=list)
 
 
-def due(folder: Path, total_bytes: int, keep_s: float, now: float | None = None) -> list[Path]:
+def due(folder: Path, total_bytes: int, keep_s: float) -> list[Path]:
     """Closed segments that are to be summed up, the oldest first: past their time, or over the accounts' part."""
     segments = sorted(folder.glob(f"*{ENDING}"))
-    now = time.time() if now is None else now
+    now = time.time()
     stats = {path: path.stat() for path in segments}
     whole = sum(stat.st_size for stat in stats.values())
     found = []
@@ -83,11 +84,7 @@
         file.flush()
         os.fsync(file.fileno())
     new.rename(made)
-    folder = os.open(segment.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    sync_folder(segment.parent)
     done.before += segment.stat().st_size
     done.after += len(data)
     done.segments += 1
--- a/winchdyke/accounts/ledger.py
+++ b/winchdyke/accounts/ledger.py
@@ -32,6 +32,7 @@
 
 from winchdyke.accounts.spans import Account, Noted, account
 from winchdyke.accounts.sums import Sums
+from winchdyke.files import sync_folder
 
 MAGIC, VERSION = b"WDLEDGER", 1
 HEAD = MAGIC + bytes([VERSION]) + bytes(7)
@@ -297,11 +298,7 @@
         path = self.folder / f"{self._number:012}{ENDING}"
         self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND, 0o640)
         os.write(self._file, HEAD)
-        folder = os.open(self.folder, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        sync_folder(self.folder)
         self._size, self._began = len(HEAD), time.monotonic()
         self._compact()
         self._bound()
--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -14,10 +14,11 @@
 from winchdyke import interface as api
 from winchdyke.changes.edit import text_of
 from winchdyke.changes.machine import Step, due, recover
-from winchdyke.changes.swap import difference, fixed, moved
+from winchdyke.changes.swap import fixed, moved
 from winchdyke.changes.trail import Trail, TrailError
 from winchdyke.changes.verdict import Criteria, Watch, lowered, touched
 from winchdyke.config import Config, ConfigError, parse
+from winchdyke.config.meaning import diff
 
 LOOK_S = 0.1
 GATEWAY = "gateway"
@@ -53,7 +54,7 @@
         self._watched: tuple[float, int, int, Config, Config] | None = (
             None  # since, version, before, old, new
         )
-        self._seen = -1
+        self._seen, self._trial = -1, False
         self._log = structlog.get_logger("changes")
         self.pause_ms = 0.0  # of the last swap
 
@@ -116,9 +117,7 @@
             await self._add(Step("undoing", step.version), "asked for")
             await self._undo(step.version)
         else:
-            await self._apply(step, found.staged_until_ms)
-
-    _trial = False
+            await self._apply(step, found.serving, found.staged_until_ms)
 
     def _is_undo(self, version: int) -> bool:
         last = [
@@ -126,11 +125,11 @@
         ][-1]
         return last.note == "undo"
 
-    async def _apply(self, step: Step, until_ms: float) -> None:
+    async def _apply(self, step: Step, serving: int, until_ms: float) -> None:
         try:
             prepared = await anyio.to_thread.run_sync(self._prepare, step.version, self._accounts())
             config = prepared.config
-            needs = fixed(difference(self._config, config))
+            needs = fixed(diff(self._config, config))
         except ConfigError as error:
             await self._add(Step("refused", step.version), f"does not pass the check: {error}")
             return
@@ -138,9 +137,9 @@
             await self._add(Step("refused", step.version), f"needs a start: {', '.join(needs[:5])}")
             return
         await self._add(step, "")
-        before, old = self.trail.standing().serving, self._config
+        old = self._config
         self._serve(prepared)
-        self._watched = self._clock(), step.version, before, old, config
+        self._watched = self._clock(), step.version, serving, old, config
         await self._add(
             Step("applied", step.version, until_ms=until_ms), f"swapped in {self.pause_ms:.2f} ms"
         )
--- a/winchdyke/changes/swap.py
+++ b/winchdyke/changes/swap.py
@@ -27,11 +27,6 @@
     ]
 
 
-def difference(old: Config, new: Config) -> list[Change]:
-    """What differs in meaning."""
-    return diff(old, new)
-
-
 def moved(old: Config, new: Config, names: Iterable[str]) -> dict[str, api.Plan]:
     """The accounts among ``names`` that a change gives another plan, or other figures of it. Slow: not for the event loop."""
     before, after = ({plan.name: plan for plan in config.plans} for config in (old, new))
--- a/winchdyke/cli/changes.py
+++ b/winchdyke/cli/changes.py
@@ -60,10 +60,11 @@
 
 
 def _keep(trail: Any, old: Any, text: str, parent: int, who: str | None, why: str) -> tuple[int, list[Any]]:
-    from winchdyke.changes.swap import difference, fixed
+    from winchdyke.changes.swap import fixed
+    from winchdyke.config.meaning import diff
 
     new = _config(text, "the new version")
-    changes = difference(old, new)
+    changes = diff(old, new)
     if not changes:
         raise click.ClickException(f"nothing differs from version {parent}")
     if needs := fixed(changes):
--- a/winchdyke/nodes/disk.py
+++ b/winchdyke/nodes/disk.py
@@ -16,6 +16,7 @@
 import msgspec
 import xxhash
 
+from winchdyke.files import sync_folder
 from winchdyke.nodes.belief import Known
 
 MAGIC, VERSION = b"WDNODES", 1
@@ -67,11 +68,7 @@
                 else:
                     before.replace(path(folder, generation))
     new.replace(path(folder, 0))
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+    sync_folder(folder)
 
 
 def read(where: Path) -> Kept:
