A change's reach is asked of each volume once; one function shares a wait among causes

While a change was watched, what it touches was worked out anew ten times a second for every volume and shard counted, on the event loop. It is made once for a change, and remembered. The gateway's accounts and the model's shared causes out by twin lines; one function serves both.

--- a/winchdyke/accounts/spans.py
+++ b/winchdyke/accounts/spans.py
@@ -36,13 +36,16 @@
 Holder = tuple[str, str, str]  # what holds: kind (volume, node, design), its name, its class or what of it
 
 
+TURN: Holder = ("design", "gateway", "turn")
+
+
 def apportion(whole: int, parts: Mapping[Holder, float]) -> dict[Holder, int]:
     """A whole number shared in step with parts, by largest remainders: the shares add up to it exactly."""
     if len(parts) == 1 and whole > 0:
         return dict.fromkeys(parts, whole)
     total = sum(part for part in parts.values() if part > 0)
     if whole <= 0 or total <= 0:
-        return {("design", "gateway", "turn"): whole} if whole > 0 else {}
+        return {TURN: whole} if whole > 0 else {}
     exact = {holder: whole * part / total for holder, part in parts.items() if part > 0}
     shares = {holder: int(part) for holder, part in exact.items()}
     left = whole - sum(shares.values())
@@ -52,6 +55,12 @@
     return {holder: share for holder, share in shares.items() if share}
 
 
+def apportion_causes(whole: int, parts: Mapping[str, float]) -> dict[str, int]:
+    """A wait shared among its causes as among its holders; with no cause known it was the gateway's own turn."""
+    shares = apportion(whole, {("cause", cause, ""): value for cause, value in parts.items()})
+    return {"turn" if holder == TURN else holder[1]: share for holder, share in shares.items()}
+
+
 CODES = {phase: code for code, phase in enumerate(PHASES)}
 
 
@@ -74,7 +83,6 @@
 
 
 Hold = tuple[int, int, dict[Holder, float], dict[str, float]]  # begin, end, milliseconds by holder, by cause
-TURN: Holder = ("design", "gateway", "turn")
 
 
 class Account(msgspec.Struct, array_like=True, omit_defaults=True, tag=1):
@@ -149,10 +157,8 @@
     for holders, parts, whole in _fitted([span for span in spans if span[0] == "held"], noted.holds):
         for holder, share in apportion(whole, holders).items():
             blame[holder] = blame.get(holder, 0) + share
-        named: dict[Holder, float] = {("cause", cause, ""): value for cause, value in parts.items()}
-        for (_, cause, _), share in apportion(whole, named).items():
-            name = "turn" if cause == "gateway" else cause
-            causes[name] = causes.get(name, 0) + share
+        for cause, share in apportion_causes(whole, parts).items():
+            causes[cause] = causes.get(cause, 0) + share
     return Account(
         request=noted.request,
         began_unix_ms=round((noted.end_unix_ns - latency) / 1e6, 3),
--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -16,7 +16,7 @@
 from winchdyke.changes.machine import Step, due, recover
 from winchdyke.changes.swap import fixed, moved
 from winchdyke.changes.trail import Trail, TrailError
-from winchdyke.changes.verdict import Criteria, Watch, lowered, touched
+from winchdyke.changes.verdict import Asked, Criteria, Watch, lowered, touched
 from winchdyke.config import Config, ConfigError, parse
 from winchdyke.config.meaning import diff
 
@@ -51,8 +51,8 @@
     ) -> None:
         self.trail, self._config, self._swap, self._accounts = Trail(folder), config, swap, accounts
         self._clock, self._dead, self.watch = clock, dead, Watch(criteria or Criteria())
-        self._watched: tuple[float, int, int, Config, Config] | None = (
-            None  # since, version, before, old, new
+        self._watched: tuple[float, int, int, Asked, Asked] | None = (
+            None  # since, version, before; touched, lowered
         )
         self._seen, self._trial = -1, False
         self._log = structlog.get_logger("changes")
@@ -139,14 +139,14 @@
         await self._add(step, "")
         old = self._config
         self._serve(prepared)
-        self._watched = self._clock(), step.version, serving, old, config
+        self._watched = self._clock(), step.version, serving, touched(old, config), lowered(old, config)
         await self._add(
             Step("applied", step.version, until_ms=until_ms), f"swapped in {self.pause_ms:.2f} ms"
         )
 
-    async def _judge(self, since: float, version: int, before: int, old: Config, new: Config) -> None:
+    async def _judge(self, since: float, version: int, before: int, mine: Asked, less: Asked) -> None:
         now = self._clock()
-        found = self.watch.verdict(since, now, touched(old, new), self._dead(), lowered(old, new))
+        found = self.watch.verdict(since, now, mine, self._dead(), less)
         if found.bad:
             await self._add(Step("undoing", before), f"version {version} does harm: {found.why}")
             await self._undo(before)
--- a/winchdyke/changes/verdict.py
+++ b/winchdyke/changes/verdict.py
@@ -16,9 +16,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from fnmatch import fnmatchcase
+from functools import cache
 
 from winchdyke.config.model import Config
 
+Asked = Callable[[str], bool]  # whether something is so of a volume
 SLOWER, TROUBLE = (
     2.0,
     0.05,
@@ -152,12 +154,13 @@
     return (counts.bad[shard] + 0.5) / (counts.ended[shard] + 1.0) if counts.ended[shard] else 0.0
 
 
-def touched(old: Config, new: Config) -> Callable[[str], bool]:
+def touched(old: Config, new: Config) -> Asked:
     """Which volumes a change touches: their rule, their plan's figures, or a route that may take their requests."""
     plans = {plan.name: plan for plan in old.plans}, {plan.name: plan for plan in new.plans}
     routes = set(old.routes) ^ set(new.routes)
     patterns = {route.pattern.volume for route in routes}
 
+    @cache
     def found(volume: str) -> bool:
         a, b = old.volume(volume), new.volume(volume)
         if a is None or b is None:
@@ -172,10 +175,11 @@
     return found
 
 
-def lowered(old: Config, new: Config) -> Callable[[str], bool]:
+def lowered(old: Config, new: Config) -> Asked:
     """Which volumes have a lower limit than before, or one where they had none."""
     plans = {plan.name: plan for plan in old.plans}, {plan.name: plan for plan in new.plans}
 
+    @cache
     def found(volume: str) -> bool:
         a, b = old.volume(volume), new.volume(volume)
         before = plans[0].get(a.plan) if a is not None else None
--- a/winchdyke/model/starts.py
+++ b/winchdyke/model/starts.py
@@ -116,12 +116,9 @@
         self._watch(now, index)
 
     def _on_arrive(self, now: float, gateway: int, request: api.Request) -> None:
-        if gateway in self.started:
-            super()._on_arrive(now, gateway, request)
-        else:  # nobody listens yet: the client goes to another one
-            super()._on_arrive(
-                now, self.draw.choice(sorted(self.started)) if self.started else gateway, request
-            )
+        if gateway not in self.started and self.started:  # nobody listens yet: the client goes to another one
+            gateway = self.draw.choice(sorted(self.started))
+        super()._on_arrive(now, gateway, request)
 
     # The list service
 
--- a/winchdyke/model/world.py
+++ b/winchdyke/model/world.py
@@ -17,7 +17,7 @@
 
 from winchdyke import interface as api
 from winchdyke.accounts.merge import merged
-from winchdyke.accounts.spans import Account, Holder, apportion
+from winchdyke.accounts.spans import Account, Holder, apportion, apportion_causes
 from winchdyke.accounts.why import USUAL_SLACK, Observer
 from winchdyke.policy import NodeView, Scheduler
 
@@ -305,14 +305,13 @@
         latency, held = round(done.latency * 1e6), round(done.held * 1e6)
         out = latency - held
         blame = apportion(held, done.blame)
-        causes = apportion(held, {("cause", cause, ""): value for cause, value in done.causes.items()})
         made.append(
             Account(
                 request=done.id, began_unix_ms=done.at + (off_ms or {}).get(done.gateway, 0.0),
                 gateway=f"gateway-{done.gateway}", volume=done.course, class_name=done.class_name, key="",
                 outcome=done.outcome, reason="", status=0, latency=latency,
                 spans=[span for span in (("held", held), ("store", out)) if span[1]],
-                causes={cause: share for (_, cause, _), share in causes.items()},
+                causes=apportion_causes(held, done.causes),
                 blame=[(*holder, share) for holder, share in blame.items()],
                 nodes=[done.node] if done.node else [], ends=["served"] if done.node else [],
                 units=done.units, store=[out] if done.node else [],
