Changes at a stated instant over clocks apart; a bounded trail; a damaged one is put aside

Need: gateways that share nothing take up a change at different times; a trail grew without bound; an undo that a kill cut left the harmful version served for good; a damaged file refused a start. Change: a version can be staged for an instant, and from clocks_apart before it to clocks_apart after it the lower of both limits counts at each gateway; entries beyond `changes, keep` versions move to archives under the same chain; a start finishes an undo that was begun; what can't be written is not served, and an undo is served even so; a trail whose chain does not fit is put aside and begun anew from what was applied for good; a version made on top of one that was undone is refused until it is applied again.

--- a/benchmarks/swap.py
+++ b/benchmarks/swap.py
@@ -17,7 +17,7 @@
 
 from winchdyke import interface as api
 from winchdyke.changes.edit import text_of
-from winchdyke.changes.swap import moved
+from winchdyke.changes.instant import Going, moved
 from winchdyke.config import Config, defaults, parse
 from winchdyke.config.meaning import diff
 from winchdyke.gateway.engine import Engine
@@ -26,7 +26,7 @@
 
 def swapped(engine: Engine, old: Config, config: Config) -> float:
     """Milliseconds for which the loop stands in one swap, as the daemon does it; the rest is made beside it."""
-    plans, settings = moved(old, config, engine.accounts()), config.settings()
+    plans, settings = moved(engine.accounts(), Going(old, old), Going(config, config)), config.settings()
     began = time.perf_counter()
     engine.accounts(len(engine.accounts()))
     Snapshot(config, 1)
--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -12,30 +12,40 @@
 import structlog
 
 from winchdyke import interface as api
+from winchdyke.changes import mend
 from winchdyke.changes.edit import text_of
-from winchdyke.changes.machine import Step, due, recover
-from winchdyke.changes.swap import fixed, moved
-from winchdyke.changes.trail import Trail, TrailError
+from winchdyke.changes.instant import Going, Phase, limits_differ, moved, phase
+from winchdyke.changes.machine import Standing, Step, due, recover
+from winchdyke.changes.mend import GATEWAY
+from winchdyke.changes.swap import fixed
+from winchdyke.changes.trail import TrailError
 from winchdyke.changes.verdict import Asked, Criteria, Watch, lowered, touched
 from winchdyke.config import Config, ConfigError, parse
 from winchdyke.config.meaning import diff
 
 LOOK_S = 0.1
-GATEWAY = "gateway"
+NEAR_MS = 300.0  # before an instant, from which on it is waited for
+SAY_S = 10.0  # between words on a trail that can't be written
+SPARE = 1.25  # times the versions that are kept, from which on the oldest are moved out
 
 
 @dataclass(frozen=True)
 class Prepared:
     """All that a swap needs, made beside the event loop: ``known`` accounts were looked at for it."""
 
-    old: Config
-    config: Config
+    before: Going
+    after: Going
     version: int
     settings: api.Settings
     plans: dict[str, api.Plan]
     known: int
 
 
+def prepared(before: Going, after: Going, version: int, names: list[str]) -> Prepared:
+    """Work out a swap. Slow: not for the event loop."""
+    return Prepared(before, after, version, after.settings(), moved(names, before, after), len(names))
+
+
 class Live:
     """Follows the trail in a folder. ``swap`` puts settings into service; it runs in the event loop and waits for nothing."""
 
@@ -49,44 +59,64 @@
         dead: Callable[[], set[int]],
         criteria: Criteria | None = None,
     ) -> None:
-        self.trail, self._config, self._swap, self._accounts = Trail(folder), config, swap, accounts
+        self.folder, self._swap, self._accounts = folder, swap, accounts
+        self._keep, self._apart = config.changes.keep, config.changes.clocks_apart
+        self.trail, self._damage = mend.opened(folder)
         self._clock, self._dead, self.watch = clock, dead, Watch(criteria or Criteria())
+        self.wall: Callable[[], float] = lambda: time.time() * 1000  # the clock of stated instants
         self._watched: tuple[float, int, int, Asked, Asked] | None = (
             None  # since, version, before; touched, lowered
         )
-        self._seen, self._trial = -1, False
+        self._going, self._version = Going(config, config), 0
+        self._ready: tuple[Standing, Config] | None = None  # what is staged, and passed the check
+        self._settles = 0.0  # the instant whose lower limits count still
+        self._owed: list[tuple[Step, str]] = []  # what could not be written yet
+        self._known = 0  # accounts that have the plans of this phase
+        self._seen, self._found = -1, Standing()
+        self._said, self._swaps = 0.0, 0
+        self.stopping = False
         self._log = structlog.get_logger("changes")
         self.pause_ms = 0.0  # of the last swap
 
     def begin(self) -> None:
         """At a start: the old or the new version, whole; the trail says which and why."""
+        if self._damage:
+            self._log.error("changes", trouble=self._damage)
         found = self.trail.standing()
-        if not self.trail.last():
-            first = self.trail.propose(text_of(self._config), 0, "[]", GATEWAY, "the gateway's own file", "")
-            for what in ("staged", "applying", "applied"):
-                self.trail.add(Step(what, first), GATEWAY)
+        if not found.serving:
+            own = text_of(self._going.config)
+            first = self.trail.propose(own, 0, "[]", GATEWAY, "the gateway's own file", "")
+            self.trail.add_all(
+                [(Step(what, first), "") for what in ("staged", "applying", "applied")], GATEWAY
+            )
             found = self.trail.standing()
         steps, why = recover(found)
+        self._owe([(step, why) for step in steps])
         for step in steps:
-            self.trail.add(step, GATEWAY, why)
-        serving = self.trail.standing().serving
-        if serving:
-            self._serve(self._prepare(serving, []))
-        self._log.info("changes", version=serving, why=why)
+            found = found.after(step)
+        config = self._read(found.serving)
+        before, at = Going(self._going.config, self._going.config), Phase.NEW
+        if found.instant_ms and found.before:
+            at = phase(self.wall(), found.instant_ms, self._apart)
+            self._settles = found.instant_ms if at is Phase.NEW_LOWER else 0.0
+        old = self._read(found.before) if self._settles else config
+        self._serve(prepared(before, Going(old, config, at), found.serving, []))
+        self._snapshot(found)
+        self._log.info("changes", version=found.serving, why=why)
 
     def _read(self, version: int) -> Config:
         return parse(self.trail.version(version).text, f"version {version}")
 
-    def _prepare(self, version: int, names: list[str]) -> Prepared:
-        config = self._read(version)
-        plans = moved(self._config, config, names)
-        return Prepared(self._config, config, version, config.settings(), plans, len(names))
-
-    def _serve(self, prepared: Prepared) -> None:
+    def _serve(self, swap: Prepared) -> None:
         began = time.perf_counter()
-        self._swap(prepared)
+        self._swap(swap)
         self.pause_ms = (time.perf_counter() - began) * 1000
-        self._config = prepared.config
+        self._going, self._version, self._known = swap.after, swap.version, swap.known
+        self._swaps += 1
+
+    async def _turn(self, after: Going, version: int) -> None:
+        names = self._accounts()
+        self._serve(await anyio.to_thread.run_sync(prepared, self._going, after, version, names))
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -94,71 +124,184 @@
             try:
                 await self._look()
             except TrailError as error:
-                self._log.warning("changes", trouble=str(error))
+                if self._clock() >= self._said + SAY_S * 1000 or not self._said:
+                    self._said = self._clock()
+                    self._log.warning("changes", trouble=str(error))
             await anyio.sleep(LOOK_S)
 
     async def _look(self) -> None:
+        if self._owed:
+            await anyio.to_thread.run_sync(self._owe, [])
         if self._watched is not None:
             await self._judge(*self._watched)
-        last = await anyio.to_thread.run_sync(self.trail.last)
-        found = (
-            await anyio.to_thread.run_sync(self.trail.standing) if last != self._seen or self._trial else None
-        )
-        if found is None:
+        if await anyio.to_thread.run_sync(self.trail.last) != self._seen:
+            self._found = await anyio.to_thread.run_sync(self._stands)
+        await self._phases()
+        if self.stopping or self._owed:
+            return  # what is staged stays so, for the next start
+        found = self._found
+        if found.staged and not await self._checked(found):
             return
-        self._seen, self._trial = last, bool(found.until_ms)
-        step = due(found, time.time() * 1000)
+        left = found.staged_at_ms - self.wall()
+        if found.staged and not found.applying and 0 < left < NEAR_MS:
+            await anyio.sleep(left / 1000)
+        step = due(found, self.wall())
         if step is None:
             return
         if step.what == "undoing":
-            await self._add(step, "not confirmed in time")
-            await self._undo(step.version)
-        elif found.serving and await anyio.to_thread.run_sync(self._is_undo, step.version):
-            await self._add(Step("undoing", step.version), "asked for")
-            await self._undo(step.version)
+            await self._undo(step.version, "not confirmed in time")
+        elif self._ready is None:
+            await self._undo(step.version, "asked for")
         else:
-            await self._apply(step, found.serving, found.staged_until_ms)
+            await self._apply(step, found, self._ready[1])
 
-    def _is_undo(self, version: int) -> bool:
+    def _stands(self) -> Standing:
+        self._seen = self.trail.last()
+        return self.trail.standing()
+
+    async def _phases(self) -> None:
+        """The limits that count around an instant."""
+        going, found = self._going, self._found
+        if self._settles:
+            if phase(self.wall(), self._settles, self._apart) is Phase.NEW:
+                self._settles = 0.0
+                await self._turn(Going(going.new, going.new), self._version)
+            elif len(names := self._accounts()) > self._known:
+                await self._late(names)
+            return
+        staged = self._ready if self._ready is not None and self._ready[0].staged == found.staged else None
+        at = found.staged_at_ms
+        now = phase(self.wall(), at, self._apart) if staged is not None and at else Phase.OLD
+        if staged is not None and now is Phase.OLD_LOWER and limits_differ(going.config, staged[1]):
+            if going.at is not Phase.OLD_LOWER or going.new is not staged[1]:
+                await self._turn(Going(going.config, staged[1], Phase.OLD_LOWER), self._version)
+            elif len(names := self._accounts()) > self._known:
+                await self._late(names)
+        elif going.at is Phase.OLD_LOWER and now is Phase.OLD:  # withdrawn, or put off
+            await self._turn(Going(going.config, going.config), self._version)
+
+    async def _late(self, names: list[str]) -> None:
+        """Accounts that came in a phase whose limits the scheduler can't tell by their plan's name."""
+        new, going = names[self._known :], self._going
+        plain = Going(going.config, going.config)
+        swap = await anyio.to_thread.run_sync(prepared, plain, going, self._version, new)
+        self._serve(Prepared(going, going, self._version, swap.settings, swap.plans, len(names)))
+
+    async def _checked(self, found: Standing) -> bool:
+        """Whether what is staged passed; it is refused where it does not."""
+        if self._ready is not None and self._ready[0] == found:
+            return True
+        self._ready = None
+        made, undo = await anyio.to_thread.run_sync(self._made, found.staged)
+        if found.staged == found.serving:
+            await self._add(Step("refused", found.staged), "it is served already")
+            return False
+        if undo and found.staged == found.before:
+            return True
+        try:
+            config = await anyio.to_thread.run_sync(self._read, found.staged)
+            needs = fixed(await anyio.to_thread.run_sync(diff, self._going.config, config))
+        except ConfigError as error:
+            await self._add(Step("refused", found.staged), f"does not pass the check: {error}")
+            return False
+        if needs:
+            await self._add(Step("refused", found.staged), f"needs a start: {', '.join(needs[:5])}")
+            return False
+        if made != found.serving:
+            # Guards against a change that was undone and comes back within another that was made on top of it.
+            text = f"made from version {made}, and {found.serving} is served; apply it again, which puts it on top"
+            await self._add(Step("refused", found.staged), text)
+            return False
+        self._ready = found, config
+        if found.staged_at_ms > self.wall():
+            await self._add(Step("ready", found.staged), "checked")
+            self._found = await anyio.to_thread.run_sync(self._stands)
+            self._ready = self._found, config
+            return self._found.staged == found.staged
+        return True
+
+    def _made(self, version: int) -> tuple[int, bool]:
         last = [
             entry for entry in self.trail.entries() if entry.what == "staged" and entry.version == version
         ][-1]
-        return last.note == "undo"
+        return self.trail.version(version).parent, last.note == "undo"
 
-    async def _apply(self, step: Step, serving: int, until_ms: float) -> None:
+    async def _apply(self, step: Step, found: Standing, config: Config) -> None:
+        old, at = self._going, found.staged_at_ms
+        now = phase(self.wall(), at, self._apart)
+        if not limits_differ(old.config, config):
+            now = Phase.NEW
+        after = Going(old.config, config, now) if now is Phase.NEW_LOWER else Going(config, config)
+        names = self._accounts()
+        swap = await anyio.to_thread.run_sync(prepared, old, after, step.version, names)
+        judged = touched(old.config, config), lowered(old.config, config)
+        await self._add(step, "", found)
+        self._ready = None
+        self._serve(swap)
+        applied = Step("applied", step.version, until_ms=found.staged_until_ms)
         try:
-            prepared = await anyio.to_thread.run_sync(self._prepare, step.version, self._accounts())
-            config = prepared.config
-            needs = fixed(diff(self._config, config))
-        except ConfigError as error:
-            await self._add(Step("refused", step.version), f"does not pass the check: {error}")
-            return
-        if needs:
-            await self._add(Step("refused", step.version), f"needs a start: {', '.join(needs[:5])}")
-            return
-        await self._add(step, "")
-        old = self._config
-        self._serve(prepared)
-        self._watched = self._clock(), step.version, serving, touched(old, config), lowered(old, config)
-        await self._add(
-            Step("applied", step.version, until_ms=until_ms), f"swapped in {self.pause_ms:.2f} ms"
-        )
+            await self._add(applied, f"swapped in {self.pause_ms:.2f} ms")
+        except TrailError as error:
+            # Guards against settings that are served and would be gone with a kill, where the disk is full.
+            await self._turn(Going(old.config, old.config), found.serving)
+            self._owed.append(
+                (Step("undone", found.serving), f"version {step.version} could not be kept: {error}")
+            )
+            raise
+        self._settles = at if now is Phase.NEW_LOWER else 0.0
+        self._watched = self._clock(), step.version, found.serving, *judged
+        await anyio.to_thread.run_sync(self._housekeeping)
 
     async def _judge(self, since: float, version: int, before: int, mine: Asked, less: Asked) -> None:
         now = self._clock()
         found = self.watch.verdict(since, now, mine, self._dead(), less)
         if found.bad:
-            await self._add(Step("undoing", before), f"version {version} does harm: {found.why}")
-            await self._undo(before)
+            await self._undo(before, f"version {version} does harm: {found.why}")
         elif now - since >= self.watch.criteria.watch:
             self._log.info("changes", version=version, verdict="good", why=found.why)
             self._watched = None
 
-    async def _undo(self, version: int) -> None:
-        self._watched = None
-        self._serve(await anyio.to_thread.run_sync(self._prepare, version, self._accounts()))
-        await self._add(Step("undone", version), f"swapped in {self.pause_ms:.2f} ms")
+    async def _undo(self, version: int, why: str) -> None:
+        """Back to the version before. It is served even where the trail can't be written: harm goes on otherwise."""
+        self._watched, self._ready, self._settles = None, None, 0.0
+        config = await anyio.to_thread.run_sync(self._read, version)
+        try:
+            await self._add(Step("undoing", version), why)
+        except TrailError:
+            self._owed.append((Step("undoing", version), why))
+        await self._turn(Going(config, config), version)
+        steps = [(Step("undone", version), f"swapped in {self.pause_ms:.2f} ms")]
+        self._log.info("changes", step="undone", version=version, note=steps[0][1])
+        await anyio.to_thread.run_sync(self._owe, steps)
+        await anyio.to_thread.run_sync(self._housekeeping)
+
+    def _owe(self, steps: list[tuple[Step, str]]) -> None:
+        """Write what is owed, in one go; it stays owed where that fails."""
+        self._owed += steps
+        if self._owed:
+            try:
+                self.trail.add_all(self._owed, GATEWAY)
+            except TrailError as error:
+                self._log.warning("changes", trouble=str(error))
+            else:
+                self._owed.clear()
+
+    def _housekeeping(self) -> None:
+        found = self.trail.standing()
+        self._snapshot(found)
+        if self._swaps % max(1, int(self._keep * (SPARE - 1))) == 0 and (
+            gone := self.trail.prune(self._keep)
+        ):
+            self._log.info("changes", moved_out=gone)
+
+    def _snapshot(self, found: Standing) -> None:
+        if found.until_ms or found.applying:
+            return
+        try:
+            mend.keep(self.folder, found.serving, self.trail.version(found.serving).text)
+        except OSError as error:
+            self._log.warning("changes", trouble=f"{mend.SERVED} can't be written: {error.strerror}")
 
-    async def _add(self, step: Step, note: str) -> None:
+    async def _add(self, step: Step, note: str, expect: Standing | None = None) -> None:
         self._log.info("changes", step=step.what, version=step.version, note=note)
-        await anyio.to_thread.run_sync(self.trail.add, step, GATEWAY, note)
+        await anyio.to_thread.run_sync(self.trail.add, step, GATEWAY, note, "", expect)
--- a/winchdyke/changes/swap.py
+++ b/winchdyke/changes/swap.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from winchdyke import interface as api
 from winchdyke.config.meaning import Change, diff
@@ -27,20 +27,8 @@
     ]
 
 
-def moved(old: Config, new: Config, names: Iterable[str]) -> dict[str, api.Plan]:
-    """The accounts among ``names`` that a change gives another plan, or other figures of it. Slow: not for the event loop."""
-    before, after = ({plan.name: plan for plan in config.plans} for config in (old, new))
-    found = {}
-    for name in names:
-        was, now = old.volume(name), new.volume(name)
-        plan = after.get(now.plan) if now is not None else None
-        if plan is not None and (was is None or before.get(was.plan) != plan):
-            found[name] = plan
-    return found
-
-
 def retell(scheduler: Scheduler, settings: api.Settings, plans: Mapping[str, api.Plan], now: float) -> int:
-    """Let a scheduler go by new plans from now on, and give accounts the plans that :func:`moved` found; how many."""
+    """Let a scheduler go by new plans from now on, and give accounts their plans (``instant.moved`` finds them); how many."""
     scheduler.cfg = scheduler.budget.cfg = settings
     scheduler.plans = {plan.name: plan for plan in settings.plans}
     changed = 0
--- a/winchdyke/changes/trail.py
+++ b/winchdyke/changes/trail.py
@@ -2,10 +2,15 @@
 
 The hash of an entry is SHA-256 over the one before it and all its own columns; a version's text is under the hash of the entry
 that proposed it. So an entry that is altered, removed or put in between shows, unless all after it are written anew.
+
+History is bounded: :meth:`Trail.prune` moves the oldest entries, and versions that nothing needs, to files beside it
+(``trail-SEQ.jsonl``, SEQ the first entry in it), and says so in an entry of its own, with where the gateway stood by then. The chain
+goes on over them: an archive that is missing or altered shows as well, where archives are asked for.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import json
 import os
@@ -15,21 +20,33 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from winchdyke.changes.machine import Standing, Step, standing
+from winchdyke.files import sync_folder
 
 FILE = "changes.db"
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS versions (id INTEGER PRIMARY KEY, parent INTEGER NOT NULL, text TEXT NOT NULL, difference TEXT NOT NULL);
 CREATE TABLE IF NOT EXISTS trail (
     seq INTEGER PRIMARY KEY, unix_ms REAL NOT NULL, who TEXT NOT NULL, what TEXT NOT NULL, version INTEGER NOT NULL,
-    until_ms REAL NOT NULL, note TEXT NOT NULL, origin TEXT NOT NULL, hash TEXT NOT NULL);
-PRAGMA user_version = 1;
+    until_ms REAL NOT NULL, note TEXT NOT NULL, origin TEXT NOT NULL, hash TEXT NOT NULL, at_ms REAL NOT NULL DEFAULT 0);
 """
+INSERT = "INSERT INTO trail VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?)"
+FORMAT = 2  # 2: with at_ms
+COLUMNS = "seq, unix_ms, who, what, version, until_ms, note, origin, hash, at_ms"
+DAMAGE = ("SQLITE_CORRUPT", "SQLITE_NOTADB", "SQLITE_SCHEMA", "SQLITE_FORMAT")
 
 
 class TrailError(Exception):
-    """A trail that can't be used, or a step that can't be taken; says what is wrong and what to do."""
+    """A trail that can't be used, or a step that can't be taken; says what is wrong and what to do.
+
+    ``damaged``: the file itself is no longer what was written.
+    """
+
+    def __init__(self, text: str, damaged: bool = False) -> None:
+        super().__init__(text)
+        self.damaged = damaged
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +62,7 @@
     note: str
     origin: str
     hash: str
+    at_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,8 +75,18 @@
     difference: str
 
 
-def _hash(before: str, row: tuple[object, ...], text: str) -> str:
-    return hashlib.sha256(json.dumps([before, *row, text], ensure_ascii=False).encode()).hexdigest()
+def _hash(before: str, row: tuple[object, ...], text: str, at_ms: float) -> str:
+    told = [before, *row, text, at_ms] if at_ms else [before, *row, text]
+    return hashlib.sha256(json.dumps(told, ensure_ascii=False).encode()).hexdigest()
+
+
+def _digest(row: Iterable[object]) -> str:
+    return hashlib.sha256(json.dumps(list(row), ensure_ascii=False).encode()).hexdigest()
+
+
+def _damaged(error: sqlite3.Error) -> bool:
+    name = getattr(error, "sqlite_errorname", "") or ""
+    return name.startswith(DAMAGE) or "malformed" in str(error) or "no such" in str(error)
 
 
 class Trail:
@@ -71,10 +99,27 @@
         try:
             folder.mkdir(parents=True, exist_ok=True, mode=0o700)
             with self._open() as db:
-                db.executescript(SCHEMA)
+                found = int(db.execute("PRAGMA user_version").fetchone()[0])
+                if found > FORMAT:
+                    raise TrailError(
+                        f"{self.path} is of format {found}; this version reads up to {FORMAT}: use a newer one"
+                    )
+                if found < FORMAT:
+                    self._bring_up(db, found)
             os.chmod(self.path, 0o600)
-        except (OSError, sqlite3.Error) as error:
-            raise TrailError(f"{self.path} can't be used: {error}") from error
+        except OSError as error:
+            raise TrailError(f"{self.path} can't be used: {error.strerror or error}") from error
+
+    @staticmethod
+    def _bring_up(db: sqlite3.Connection, found: int) -> None:
+        db.execute("BEGIN IMMEDIATE")
+        if int(db.execute("PRAGMA user_version").fetchone()[0]) == found:  # nobody else did so meanwhile
+            for statement in SCHEMA.split(";"):
+                db.execute(statement)
+            if found == 1:
+                db.execute("ALTER TABLE trail ADD COLUMN at_ms REAL NOT NULL DEFAULT 0")
+            db.execute(f"PRAGMA user_version = {FORMAT}")
+        db.execute("COMMIT")
 
     @contextmanager
     def _open(self) -> Iterator[sqlite3.Connection]:
@@ -84,7 +129,9 @@
             db.execute("PRAGMA synchronous = FULL")
             yield db
         except sqlite3.Error as error:
-            raise TrailError(f"{self.path}: {error}; nothing was changed by this step") from error
+            raise TrailError(
+                f"{self.path}: {error}; nothing was changed by this step", _damaged(error)
+            ) from error
         finally:
             db.close()
 
@@ -94,15 +141,18 @@
             db.execute("BEGIN IMMEDIATE")
             try:
                 yield db
+                db.execute("COMMIT")
             except BaseException:
-                db.execute("ROLLBACK")
+                if db.in_transaction:  # SQLite ends it by itself where the disk is full
+                    db.execute("ROLLBACK")
                 raise
-            db.execute("COMMIT")
 
-    def propose(self, text: str, parent: int, difference: str, who: str, why: str, origin: str) -> int:
-        """Keep a version; its number."""
+    def propose(
+        self, text: str, parent: int, difference: str, who: str, why: str, origin: str, number: int = 0
+    ) -> int:
+        """Keep a version; its number, which is the next one where none is given."""
         with self._writing() as db:
-            version = int(db.execute("SELECT COALESCE(MAX(id), 0) + 1 FROM versions").fetchone()[0])
+            version = number or int(db.execute("SELECT COALESCE(MAX(id), 0) + 1 FROM versions").fetchone()[0])
             db.execute("INSERT INTO versions VALUES (?, ?, ?, ?)", (version, parent, text, difference))
             self._add(db, Step("proposed", version), who, why, origin)
             return version
@@ -111,17 +161,24 @@
         self, step: Step, who: str, note: str = "", origin: str = "", expect: Standing | None = None
     ) -> None:
         """Take a step. TrailError where it does not follow, or others have gone on since ``expect``."""
+        self.add_all([(step, note)], who, origin, expect)
+
+    def add_all(
+        self, steps: list[tuple[Step, str]], who: str, origin: str = "", expect: Standing | None = None
+    ) -> None:
+        """Take several steps, each with its note, all or none."""
         with self._writing() as db:
-            now = standing(self._steps(db))
+            now = self._standing(db)
             if expect is not None and now != expect:
                 raise TrailError(
                     "another step was taken meanwhile; look at 'winchdyke changes log', and try again"
                 )
-            try:
-                now.after(step)
-            except ValueError as error:
-                raise TrailError(str(error)) from error
-            self._add(db, step, who, note, origin)
+            for step, note in steps:
+                try:
+                    now = now.after(step)
+                except ValueError as error:
+                    raise TrailError(str(error)) from error
+                self._add(db, step, who, note, origin)
 
     def _add(self, db: sqlite3.Connection, step: Step, who: str, note: str, origin: str) -> None:
         last = db.execute("SELECT seq, hash FROM trail ORDER BY seq DESC LIMIT 1").fetchone() or (0, "")
@@ -135,10 +192,8 @@
             note,
             origin,
         )
-        db.execute(
-            "INSERT INTO trail VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)",
-            (*row, _hash(last[1], row, self._content(db, step))),
-        )
+        made = _hash(last[1], row, self._content(db, step), step.at_ms)
+        db.execute(INSERT, (*row, made, step.at_ms))
 
     @staticmethod
     def _content(db: sqlite3.Connection, step: Step) -> str:
@@ -150,14 +205,17 @@
         return json.dumps(found)
 
     @staticmethod
-    def _steps(db: sqlite3.Connection) -> list[Step]:
-        rows = db.execute("SELECT what, version, unix_ms, until_ms FROM trail ORDER BY seq")
-        return [Step(*row) for row in rows]
+    def _standing(db: sqlite3.Connection) -> Standing:
+        base, after = _base(db)
+        rows = db.execute(
+            "SELECT what, version, unix_ms, until_ms, at_ms FROM trail WHERE seq > ? ORDER BY seq", (after,)
+        )
+        return standing((Step(*row) for row in rows), base)
 
     def standing(self) -> Standing:
         """Where the gateway stands."""
         with self._open() as db:
-            return standing(self._steps(db))
+            return self._standing(db)
 
     def last(self) -> int:
         """The number of the last entry."""
@@ -167,7 +225,15 @@
     def entries(self) -> list[Entry]:
         """All entries, the oldest first."""
         with self._open() as db:
-            return [Entry(*row) for row in db.execute("SELECT * FROM trail ORDER BY seq")]
+            return [Entry(*row) for row in db.execute(f"SELECT {COLUMNS} FROM trail ORDER BY seq")]
+
+    def after(self, seq: int) -> list[Entry]:
+        """The entries behind one, the oldest first."""
+        with self._open() as db:
+            return [
+                Entry(*row)
+                for row in db.execute(f"SELECT {COLUMNS} FROM trail WHERE seq > ? ORDER BY seq", (seq,))
+            ]
 
     def version(self, number: int) -> Version:
         """A version. TrailError where there is none of that number."""
@@ -176,7 +242,9 @@
                 "SELECT id, parent, text, difference FROM versions WHERE id = ?", (number,)
             ).fetchone()
         if row is None:
-            raise TrailError(f"there is no version {number}; see 'winchdyke changes log'")
+            raise TrailError(
+                f"there is no version {number} here; see 'winchdyke changes log', and the archives beside {self.path}"
+            )
         return Version(*row)
 
     def blame(self) -> dict[str, Entry]:
@@ -187,7 +255,11 @@
         for entry in entries:
             if entry.what in ("applied", "undone") and entry.version in proposed:
                 asked = proposed[entry.version] if entry.what == "applied" else entry
-                for change in json.loads(self.version(entry.version).difference):
+                try:
+                    difference = self.version(entry.version).difference
+                except TrailError:
+                    continue  # in the archives
+                for change in json.loads(difference):
                     found[change["path"]] = asked
         return found
 
@@ -196,7 +268,7 @@
         with self._open() as db:
             for row in db.execute("SELECT id, parent, text, difference FROM versions ORDER BY id").fetchall():
                 yield json.dumps({"version": row}, ensure_ascii=False)
-            for row in db.execute("SELECT * FROM trail ORDER BY seq").fetchall():
+            for row in db.execute(f"SELECT {COLUMNS} FROM trail ORDER BY seq").fetchall():
                 yield json.dumps({"entry": row}, ensure_ascii=False)
 
     def take_in(self, lines: Iterable[str]) -> int:
@@ -210,29 +282,156 @@
                     if "version" in found:
                         db.execute("INSERT INTO versions VALUES (?, ?, ?, ?)", found["version"])
                     else:
-                        db.execute("INSERT INTO trail VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)", found["entry"])
+                        db.execute(INSERT, [*found["entry"], 0.0][:10])
                 except (ValueError, KeyError, TypeError, sqlite3.Error) as error:
                     raise TrailError(f"line {number} is no line of an export: {error}") from error
             if said := self._unfit(db):
                 raise TrailError(f"the export does not fit together: {said[0]}")
             return int(db.execute("SELECT COUNT(*) FROM trail").fetchone()[0])
 
-    def verify(self) -> list[str]:
-        """What does not fit in the chain, in words; nothing where all does."""
+    def prune(self, keep: int) -> int:
+        """Move all but the last ``keep`` versions, and the entries about them, to an archive; how many entries went."""
+        with self._writing() as db:
+            now = self._standing(db)
+            needed = {now.serving, now.before, now.staged, now.applying}
+            newest = db.execute("SELECT id FROM versions ORDER BY id DESC LIMIT ?", (keep,)).fetchall()
+            if len(newest) < keep or now.applying:
+                return 0
+            first = db.execute(
+                "SELECT MIN(seq) FROM trail WHERE what = 'proposed' AND version = ?", newest[-1]
+            ).fetchone()
+            if not first[0]:
+                return 0
+            base, after = _base(db)
+            rows = db.execute(
+                f"SELECT {COLUMNS} FROM trail WHERE seq > ? AND seq < ? ORDER BY seq", (after, first[0])
+            ).fetchall()
+            old = db.execute(
+                "SELECT id, parent, text, difference FROM versions WHERE id < ? ORDER BY id", newest[-1]
+            ).fetchall()
+            gone = [row for row in old if row[0] not in needed]
+            kept = {str(row[0]): _digest(row[1:]) for row in old if row[0] in needed}
+            if not rows:
+                return 0
+            cut = Entry(*rows[-1])
+            steps = (Step(e.what, e.version, e.unix_ms, e.until_ms, e.at_ms) for e in map(_entry, rows))
+            stood = standing(steps, base)
+            self._archive(rows, gone)
+            told = {"seq": cut.seq, "hash": cut.hash, "standing": dataclasses.asdict(stood), "kept": kept}
+            self._add(db, Step("pruned", 0), "gateway", json.dumps(told), "")
+            db.execute("DELETE FROM trail WHERE seq <= ?", (cut.seq,))
+            db.executemany("DELETE FROM versions WHERE id = ?", [(row[0],) for row in gone])
+            return len(rows)
+
+    def _archive(self, rows: list[tuple[object, ...]], gone: list[tuple[object, ...]]) -> None:
+        folder = self.path.parent
+        path = folder / f"trail-{rows[0][0]:08}.jsonl"
+        new = path.with_suffix(".new")
+        try:
+            with open(
+                os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "w", encoding="utf-8"
+            ) as file:
+                for row in gone:
+                    file.write(json.dumps({"version": row}, ensure_ascii=False) + "\n")
+                for row in rows:
+                    file.write(json.dumps({"entry": row}, ensure_ascii=False) + "\n")
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(new, path)
+            sync_folder(folder)
+        except OSError as error:
+            raise TrailError(f"{path} can't be written: {error.strerror}; nothing was moved there") from error
+
+    def archives(self) -> list[Path]:
+        """The files that hold what was moved out, the oldest first."""
+        return sorted(self.path.parent.glob("trail-*.jsonl"))
+
+    def archived(self) -> Iterator[Entry]:
+        """The entries in the archives, the oldest first. TrailError where one can't be read."""
+        for path in self.archives():
+            for number, line in enumerate(path.read_text(encoding="utf-8").splitlines(), 1):
+                try:
+                    found = json.loads(line)
+                    if "entry" in found:
+                        yield Entry(*found["entry"])
+                except (ValueError, TypeError) as error:
+                    raise TrailError(f"{path}, line {number}: not an entry of a trail: {error}") from error
+
+    def verify(self, archives: bool = False) -> list[str]:
+        """What does not fit in the chain, in words; nothing where all does. ``archives``: those count as well."""
+        said = self._unfit_archives() if archives else []
         with self._open() as db:
-            return self._unfit(db)
+            return said + self._unfit(db)
+
+    def _unfit_archives(self) -> list[str]:
+        said: list[str] = []
+        versions: dict[int, list[object]] = {}
+        entries: list[tuple[str, Entry]] = []
+        for path in self.archives():
+            for number, line in enumerate(path.read_bytes().splitlines(), 1):
+                try:
+                    found = json.loads(line)
+                    if "version" in found:
+                        versions[found["version"][0]] = found["version"][1:]
+                    else:
+                        entries.append((path.name, Entry(*found["entry"])))
+                except (ValueError, TypeError, KeyError, IndexError) as error:
+                    said.append(f"{path.name}, line {number}: not a line of a trail: {error}")
+        before = ""
+        for name, entry in entries:
+            content = ""
+            if entry.what == "proposed":
+                if entry.version not in versions:
+                    try:
+                        made = self.version(entry.version)
+                        versions[entry.version] = [made.parent, made.text, made.difference]
+                    except TrailError:
+                        said.append(f"{name}: version {entry.version} is in none of the archives")
+                content = json.dumps(versions.get(entry.version))
+            if _hash(before, dataclasses.astuple(entry)[:8], content, entry.at_ms) != entry.hash:
+                said.append(f"{name}: entry {entry.seq} was altered, or one before it is not there")
+            before = entry.hash
+        with self._open() as db:
+            told = _pruned(db)
+        if told and told["hash"] != before:
+            said.append(f"the archives do not end at entry {told['seq']}, as the trail says")
+        return said
 
     def _unfit(self, db: sqlite3.Connection) -> list[str]:
         said: list[str] = []
-        before, seq = "", 0
-        for row in db.execute("SELECT * FROM trail ORDER BY seq").fetchall():
+        told = _pruned(db)
+        before, seq = (told["hash"], told["seq"]) if told else ("", 0)
+        for row in db.execute(f"SELECT {COLUMNS} FROM trail ORDER BY seq").fetchall():
             entry = Entry(*row)
             if entry.seq != seq + 1:
                 said.append(f"entry {seq + 1} is missing before {entry.seq}")
             content = self._content(db, Step(entry.what, entry.version))
-            if _hash(before, tuple(row[:-1]), content) != entry.hash:
+            if _hash(before, tuple(row[:8]), content, entry.at_ms) != entry.hash:
                 said.append(
                     f"entry {entry.seq} ({entry.what} {entry.version}) was altered, or one before it is not there"
                 )
             before, seq = entry.hash, entry.seq
+        for number, digest in (told["kept"] if told else {}).items():  # proposed in what was moved out
+            row = db.execute(
+                "SELECT parent, text, difference FROM versions WHERE id = ?", (number,)
+            ).fetchone()
+            if row is not None and _digest(row) != digest:
+                said.append(f"version {number} was altered")
         return said
+
+
+def _entry(row: tuple[object, ...]) -> Entry:
+    return Entry(*row)  # type: ignore[arg-type]
+
+
+def _pruned(db: sqlite3.Connection) -> dict[str, Any] | None:
+    row = db.execute("SELECT note FROM trail WHERE what = 'pruned' ORDER BY seq DESC LIMIT 1").fetchone()
+    try:
+        return json.loads(row[0]) if row else None
+    except ValueError as error:
+        raise TrailError(f"the entry on what was moved out can't be read: {error}", True) from error
+
+
+def _base(db: sqlite3.Connection) -> tuple[Standing, int]:
+    told = _pruned(db)
+    return (Standing(**told["standing"]), told["seq"]) if told else (Standing(), 0)
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -60,6 +60,8 @@
     """Where versions of the settings are kept; an empty folder: they change with a start alone."""
 
     folder: str = ""
+    keep: int = 200  # versions; older ones are moved to archives
+    clocks_apart: float = 2000.0  # ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -86,7 +86,20 @@
     ),
     "changes": Kind(
         "Versions of plans, volumes, routes and pools that are changed in service; none where no folder is given.",
-        {"folder": Key(t.Type(), '""', "Where they and their trail are kept; owner-only.")},
+        {
+            "folder": Key(t.Type(), '""', "Where they and their trail are kept; owner-only."),
+            "keep": Key(
+                t.Count(low=2),
+                "200",
+                "Versions that are kept there; older ones are moved to files beside it.",
+            ),
+            "clocks_apart": _time(
+                "2s",
+                "How far gateways' clocks may be apart around an instant that a change is staged for.",
+                10 * MS,
+                60 * S,
+            ),
+        },
     ),
     "nodes": Kind(
         "The list service.",
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -16,8 +16,8 @@
 from winchdyke import interface as api
 from winchdyke.accounts.ledger import Bounds, Writer
 from winchdyke.accounts.recorder import Recorder
+from winchdyke.changes.instant import moved
 from winchdyke.changes.live import Live, Prepared
-from winchdyke.changes.swap import moved
 from winchdyke.changes.trail import TrailError
 from winchdyke.config import Config
 from winchdyke.gateway.clients import ClientConnection
@@ -121,8 +121,9 @@
         """Other settings from this instant on: nothing else runs while this does."""
         plans = prepared.plans
         if new := self.engine.accounts(prepared.known):  # that have come since it was prepared
-            plans = {**plans, **moved(prepared.old, prepared.config, new)}
-        self.service.snapshot = Snapshot(prepared.config, prepared.version)
+            plans = {**plans, **moved(new, prepared.before, prepared.after)}
+        if self.service.snapshot.version != prepared.version:
+            self.service.snapshot = Snapshot(prepared.after.config, prepared.version)
         self.engine.retell(prepared.settings, plans)
 
     def _membership(self) -> Membership:
@@ -285,6 +286,8 @@
 
     async def _drain(self) -> None:
         self.service.stopping = True
+        if self.live is not None:
+            self.live.stopping = True  # nothing new is begun: what is staged stays so for the next start
         await anyio.sleep(LAST_WORD_S)  # for requests that are on their way
         longest = max(kind.rules.deadline_ms for kind in self.config.kinds) / 1000
         with anyio.move_on_after(longest + STOP_SLACK_S):
