An admin API for changes: a unix socket, or requests signed with HMAC; one value set at once

Need: changes could be asked for only by a user who may write the gateway's own folder on its own host. Change: winchdyke/admin: a listener of its own (a unix socket in the folder of changes by default, TCP with RFC 9421 signatures under keys in an owner-only file, with time and nonce, refused when replayed, also across a start); 'winchdyke keys'; all operations in changes/desk.py, the same from a folder and over the API; changes check, stage, withdraw, apply --at; plan, volume and limit set. The verdict holds what was moved to a shard against how all of the course fared, not against the shard's own bad name: it had let a harmful change stay where a few requests had failed there before.

--- a/winchdyke/changes/edit.py
+++ b/winchdyke/changes/edit.py
@@ -5,8 +5,9 @@
 import difflib
 from collections.abc import Iterable
 
-from winchdyke.changes.swap import merged
+from winchdyke.changes.swap import LIVE, merged
 from winchdyke.config.diagnostics import Source, Span
+from winchdyke.config.loading import Values
 from winchdyke.config.meaning import Change, apply, table
 from winchdyke.config.model import Config
 from winchdyke.config.schema import BLOCKS
@@ -24,13 +25,16 @@
     return written(table(config))
 
 
-def edited(config: Config, kind: str, name: str, values: Iterable[str]) -> str:
-    """The text of settings in which a block has other values, each ``KEY=VALUE``."""
+def edited(config: Config, kind: str, name: str, values: Iterable[str], new: bool = False) -> str:
+    """The text of settings in which a block has other values, each ``KEY=VALUE``; ``new``: one that is not there yet."""
     found = {where: dict(keys) for where, keys in table(config).items()}
-    if (kind, name) not in found:
-        there = sorted(each for there, each in found if there == kind)
-        near = difflib.get_close_matches(name, there, 1) or there[:5]
-        raise EditError(f"there is no {kind} {name}; there is {', '.join(near)}")
+    if kind not in LIVE:
+        raise EditError(f"a {kind} can't change in service; what can is {', '.join(sorted(LIVE))}")
+    if new:
+        if (kind, name) in found:
+            raise EditError(f"there is a {kind} {name} already; set its values without --new")
+        found[kind, name] = {}
+    _there(found, kind, name)
     known = BLOCKS[kind].keys
     for text in values:
         key, given, value = text.partition("=")
@@ -48,6 +52,20 @@
     return written(found)
 
 
+def removed(config: Config, kind: str, name: str) -> str:
+    """The text of settings without a block."""
+    found = table(config)
+    _there(found, kind, name)
+    return written({where: keys for where, keys in found.items() if where != (kind, name)})
+
+
+def _there(found: Values, kind: str, name: str) -> None:
+    if (kind, name) not in found:
+        there = sorted(each for there, each in found if there == kind)
+        near = difflib.get_close_matches(name, there, 1) or there[:5]
+        raise EditError(f"there is no {kind} {name}; there is {', '.join(near)}")
+
+
 def rebased(base: Config, mine: Config, theirs: Config) -> tuple[str, list[tuple[Change, Change]]]:
     """My edit of ``base`` on top of theirs, and the values that both change differently."""
     ours, clashes = merged(base, mine, theirs)
--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -237,6 +237,9 @@
         judged = touched(old.config, config), lowered(old.config, config)
         await self._add(step, "", found)
         self._ready = None
+        since = (
+            self._clock()
+        )  # not after the trail is written: what fails meanwhile is the change's, not the time before's
         self._serve(swap)
         applied = Step("applied", step.version, until_ms=found.staged_until_ms)
         try:
@@ -249,7 +252,7 @@
             )
             raise
         self._settles = at if now is Phase.NEW_LOWER else 0.0
-        self._watched = self._clock(), step.version, found.serving, *judged
+        self._watched = since, step.version, found.serving, *judged
         await anyio.to_thread.run_sync(self._housekeeping)
 
     async def _judge(self, since: float, version: int, before: int, mine: Asked, less: Asked) -> None:
--- a/winchdyke/changes/verdict.py
+++ b/winchdyke/changes/verdict.py
@@ -114,6 +114,8 @@
     mine0, mine1 = groups[True, False], groups[True, True]
     other0, other1 = groups[False, False], groups[False, True]
     seen = wrong = expected = over = variance = 0.0
+    usual = sum(mine0.bad.values()) / max(1, sum(mine0.ended.values()))  # of the touched, wherever they went
+    growth = (sum(mine1.ended.values()) / spans[1]) / max(1e-9, sum(mine0.ended.values()) / spans[0])
     for shard, count in mine1.ended.items():
         if shard in dead:
             continue
@@ -122,6 +124,11 @@
         before = _share(mine0, shard)
         rise = _share(other1, shard) - _share(other0, shard) if other1.ended[shard] >= 5 else 0.0
         surge = (count / spans[1]) / max(1e-9, mine0.ended[shard] / spans[0]) if mine0.ended[shard] else 1.0
+        shift = surge / growth if growth > 0 else 1.0
+        if shift > MOVED and mine0.ended[shard]:
+            # Guards against harm that hides behind a shard's own bad name: what was moved there fared as all of it did before.
+            stayed = 1 / shift
+            before, surge = stayed * before + (1 - stayed) * usual, growth
         slower = _mean(other1, shard) > SLOWER * _mean(other0, shard) > 0
         if (slower or rise > TROUBLE) and mine0.ended[shard] and surge < MOVED:
             continue  # a trouble of the shard's own: what was sent there before still is, and others suffer too
--- /dev/null
+++ b/winchdyke/cli/keys.py
@@ -0,0 +1,125 @@
+"""``winchdyke keys``: who may use the admin API over TCP."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+FILE = click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+
+
+@click.group("keys")
+def command() -> None:
+    """Keys of the admin API. FILE is a gateway's `admin, keys`; a running gateway goes by it from the next request on."""
+
+
+def _read(file: Path, none_yet: bool = False) -> list[Any]:
+    from winchdyke.admin.keys import KeysError, read
+
+    if none_yet and not file.exists():
+        return []
+    try:
+        return read(file)
+    except KeysError as error:
+        raise click.ClickException(str(error)) from None
+
+
+def _write(file: Path, keys: list[Any]) -> None:
+    from winchdyke.admin.keys import KeysError, write
+
+    try:
+        write(file, keys)
+    except KeysError as error:
+        raise click.ClickException(str(error)) from None
+
+
+def _span(text: str | None, option: str) -> float:
+    from winchdyke.config import units
+
+    try:
+        return units.duration(text) if text else 0.0
+    except ValueError as error:
+        raise click.ClickException(f"{option}: {error}") from None
+
+
+def _mine(keys: list[Any], name: str, file: Path) -> Any:
+    for key in keys:
+        if key.id == name:
+            return key
+    raise click.ClickException(f"{file} has no key {name}; 'winchdyke keys list {file}' shows them")
+
+
+@command.command("new")
+@FILE
+@click.option("--who", required=True, help="Whose it is; it stands on the trail of what is done with it.")
+@click.option(
+    "--for", "span", default=None, metavar="TIME", help="How long it counts; for good where not given."
+)
+@click.option(
+    "--to", type=click.Path(path_type=Path, dir_okay=False), help="Write it to a file for its owner, too."
+)
+def new(file: Path, who: str, span: str | None, to: Path | None) -> None:
+    """Make a key, and the file where there is none."""
+    from winchdyke.admin.keys import made
+
+    keys, now = _read(file, none_yet=True), time.time() * 1000
+    key = made(who, now, now + _span(span, "--for") if span else 0.0)
+    _write(file, [*keys, key])
+    if to is not None:
+        _write(to, [key])
+    click.echo(key.id)
+
+
+@command.command("rotate")
+@FILE
+@click.argument("name", metavar="ID")
+@click.option(
+    "--overlap", default="1d", show_default=True, metavar="TIME", help="How long the old one counts still."
+)
+@click.option(
+    "--to", type=click.Path(path_type=Path, dir_okay=False), help="Write the new one to a file for its owner."
+)
+def rotate(file: Path, name: str, overlap: str, to: Path | None) -> None:
+    """Make another key for the owner of key ID; both count for a while."""
+    from winchdyke.admin.keys import made
+
+    keys, now = _read(file), time.time() * 1000
+    old = _mine(keys, name, file)
+    end = now + _span(overlap, "--overlap")
+    old.until_ms = min(old.until_ms, end) if old.until_ms else end
+    key = made(old.who, now)
+    _write(file, [*keys, key])
+    if to is not None:
+        _write(to, [key])
+    click.echo(key.id)
+
+
+@command.command("withdraw")
+@FILE
+@click.argument("name", metavar="ID")
+def withdraw(file: Path, name: str) -> None:
+    """Take key ID away; it is refused from the next request on."""
+    keys = _read(file)
+    gone = _mine(keys, name, file)
+    _write(file, [key for key in keys if key is not gone])
+    click.echo(f"{name} is withdrawn")
+
+
+@command.command("list")
+@FILE
+def show(file: Path) -> None:
+    """The keys, without their secrets."""
+    now = time.time() * 1000
+    for key in _read(file):
+        until = (
+            datetime.fromtimestamp(key.until_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M:%S")
+            if key.until_ms
+            else "-"
+        )
+        click.echo(
+            f"{key.id:24} {key.who:16} {'counts' if key.good(now) else 'does not count':14} until {until}"
+        )
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from winchdyke.cli import changes, check, config, day, dev, model, nodes, serve, standin, waits
+from winchdyke.cli import changes, check, config, day, dev, keys, model, nodes, serve, standin, waits
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -24,5 +24,9 @@
     model.command,
     nodes.command,
     changes.command,
+    changes.plan_command,
+    changes.volume_command,
+    changes.limit_command,
+    keys.command,
 ):
     main.add_command(command)
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -507,6 +507,7 @@
         log=model.Log(**values["log", ""]),
         accounts=model.Accounts(**values["accounts", ""]),
         changes=model.Changes(**values["changes", ""]),
+        admin=model.Admin(**values["admin", ""]),
         limits=model.Limits(**values["limits", ""]),
         nodes=model.Discovery(
             host,
--- a/winchdyke/config/meaning.py
+++ b/winchdyke/config/meaning.py
@@ -54,6 +54,11 @@
         ("log", ""): dataclasses.asdict(config.log),
         ("accounts", ""): dataclasses.asdict(config.accounts),
         ("changes", ""): dataclasses.asdict(config.changes),
+        ("admin", ""): {
+            "socket": config.admin.socket,
+            "listen": config.admin.listen,
+            "keys": config.admin.keys,
+        },
         ("limits", ""): dataclasses.asdict(config.limits),
         ("rules", ""): dataclasses.asdict(config.rules),
     }
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -64,6 +64,15 @@
     clocks_apart: float = 2000.0  # ms
 
 
+@dataclass(frozen=True, slots=True)
+class Admin:
+    """The admin API's listeners: a unix socket (empty: in the folder of changes; ``none``), TCP with a file of keys."""
+
+    socket: str = ""
+    listen: Listen | None = None
+    keys: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds on what clients and stores may use of this gateway."""
@@ -165,6 +174,7 @@
     log: Log
     accounts: Accounts
     changes: Changes
+    admin: Admin
     limits: Limits
     nodes: Discovery
     rules: Rules
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -101,6 +101,18 @@
             ),
         },
     ),
+    "admin": Kind(
+        "Where changes are asked for while the gateway serves; only where they are kept (`changes, folder`).",
+        {
+            "socket": Key(
+                t.Type(),
+                '""',
+                "A unix socket; admin.sock in the folder of changes where not given; none for none.",
+            ),
+            "listen": Key(t.Address(), NONE, "An address for signed requests; `keys` must be given with it."),
+            "keys": Key(t.Type(), '""', "A file of keys, readable by its owner alone; see `winchdyke keys`."),
+        },
+    ),
     "nodes": Kind(
         "The list service.",
         {
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -50,6 +50,11 @@
         self._poll = select.poll()  # for errors and hang-ups alone, which are always told
         self._poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), 0)
 
+    @property
+    def stream(self) -> SocketStream:
+        """What it is on: for who is at its other end."""
+        return self._stream
+
     async def run(self, handle: Callable[[ClientConnection, RequestHead], Awaitable[None]]) -> None:
         """Serve the connection to its end."""
         try:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -16,6 +16,7 @@
 from winchdyke import interface as api
 from winchdyke.accounts.ledger import Bounds, Writer
 from winchdyke.accounts.recorder import Recorder
+from winchdyke.admin.server import Admin, AdminError, listen
 from winchdyke.changes.instant import moved
 from winchdyke.changes.live import Live, Prepared
 from winchdyke.changes.trail import TrailError
@@ -65,7 +66,9 @@
         self.live = self._live()
         self.address = ("", 0)
         self.addresses: list[tuple[str, int]] = []
+        self.admin_addresses: list[object] = []
         self._connections: set[ClientConnection] = set()
+        self._admins: set[ClientConnection] = set()
         self._stop = anyio.Event()
         self._log = structlog.get_logger("gateway")
 
@@ -177,6 +180,7 @@
     async def run(self, started: Callable[[], None] = lambda: None) -> None:
         """Serve until stopped. StartError where the address can't be listened at."""
         listeners = await self._listen()
+        admins = await self._admin_listeners(listeners)
         self.addresses = [listener.extra(SocketAttribute.local_address)[:2] for listener in listeners]  # type: ignore[misc]
         self.address = self.addresses[0]
         async with anyio.create_task_group() as group:
@@ -189,6 +193,10 @@
             accepting: list[anyio.CancelScope] = []
             for listener in listeners:
                 group.start_soon(self._accept, listener, accepting, group)
+            if self.live is not None and admins:
+                admin = Admin(self.config.admin, self.live.trail)
+                for listener in admins:
+                    group.start_soon(self._accept_admin, listener, admin, accepting, group)
             self._log.info(
                 "started", gateway=self.config.gateway.name, host=self.address[0], port=self.address[1]
             )
@@ -228,6 +236,51 @@
             found += [listener for listener in multi.listeners if isinstance(listener, SocketListener)]
         return found
 
+    async def _admin_listeners(self, others: list[SocketListener]) -> list[SocketListener]:
+        if self.live is None:
+            return []
+        try:
+            found = await listen(self.config.admin, self.live.folder)
+        except AdminError as error:
+            for listener in others:
+                await listener.aclose()
+            raise StartError(str(error)) from error
+        self.admin_addresses = [listener.extra(SocketAttribute.local_address) for listener in found]
+        return found
+
+    async def _accept_admin(
+        self, listener: SocketListener, admin: Admin, scopes: list[anyio.CancelScope], group: TaskGroup
+    ) -> None:
+        """Those who ask for changes have connections of their own, few at once: they take none from clients."""
+        places = anyio.Semaphore(admin.connections)
+
+        async def one(stream: SocketStream) -> None:
+            connection = ClientConnection(stream, self.config.limits, self.engine.clock)
+            self._admins.add(connection)
+            try:
+                await connection.run(admin.handle)
+            except Exception as error:
+                self._log.error("connection", exc_info=error)
+            finally:
+                self._admins.discard(connection)
+                places.release()
+
+        async with listener:
+            with anyio.CancelScope() as mine:
+                scopes.append(mine)
+                while True:
+                    await places.acquire()
+                    try:
+                        stream = await listener.accept()
+                    except OSError as error:
+                        places.release()
+                        if error.errno not in (*NO_DESCRIPTORS, errno.ECONNABORTED):
+                            raise
+                        await anyio.sleep(ACCEPT_PAUSE_S)
+                        continue
+                    _hold_back(stream)
+                    group.start_soon(one, stream)
+
     async def _accept(
         self, listener: SocketListener, scopes: list[anyio.CancelScope], group: TaskGroup
     ) -> None:
@@ -275,7 +328,7 @@
         while True:
             await anyio.sleep(SWEEP_S)
             now = self.engine.clock()
-            for connection in list(self._connections):
+            for connection in [*self._connections, *self._admins]:
                 connection.look()
                 if connection.due <= now:
                     await connection.expire()
@@ -291,8 +344,8 @@
         await anyio.sleep(LAST_WORD_S)  # for requests that are on their way
         longest = max(kind.rules.deadline_ms for kind in self.config.kinds) / 1000
         with anyio.move_on_after(longest + STOP_SLACK_S):
-            while self._connections:
-                for connection in list(self._connections):
+            while self._connections or self._admins:
+                for connection in [*self._connections, *self._admins]:
                     connection.hang_up()
                 await anyio.sleep(0.01)
         if self._connections:
