--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -609,3 +609,13 @@
             await anyio.aclose_forcefully(first.stream)
 
     run()
+
+
+def test_a_body_that_was_read_with_its_head_has_an_end_though_the_client_sends_no_more():
+    """Whoever read on, waited until the client's time was up."""
+    from winchdyke.http1 import End, RequestHead, ServerSide
+
+    codec = ServerSide(1000)
+    codec.feed(b"PUT /a/b HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")
+    assert isinstance(codec.head(), RequestHead)
+    assert isinstance(codec.body(), End)
--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -117,6 +117,10 @@
 
     def body(self) -> Bytes | Need | End:
         """More of the request's body."""
+        if self.body_done:
+            # Guards against waiting for more from a client that has said it sends no more (Connection: close): the parser then
+            # tells nothing at a body's end that was read with the head.
+            return END
         try:
             event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
