A start keeps no version that was on trial; what was asked for under an old version is decided by it

Need: the checked world, with parents and withdrawals in it, found that a kill while another version was being applied left one on trial in service for good; a request handed over just before a swap was decided under the new plans, where its plan may be gone.

--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -115,8 +115,8 @@
             due = before
             for step in steps:
                 due = due.after(step)
-            mine = {entry.version for entry in trail.after(last)} | {due.serving, before.serving}
             first = self.version()
+            mine = {entry.version for entry in trail.after(last)} | {due.serving, before.serving}
             if last and first not in mine:
                 self.wrong.append(f"version {first} after a start; the trail leaves it at {due.serving}")
             seen: set[int] = set()
--- /dev/null
+++ b/benchmarks/swap_load.py
@@ -0,0 +1,146 @@
+"""What requests that are under way at an apply wait longer: their latency against that of others of the same run.
+
+python benchmarks/swap_load.py [--volumes 5000] [--applies 30]
+
+One gateway, eight stores and 16 clients in one process, all 5,000 volumes with accounts at the scheduler. Versions take turns in
+which 1 volume or all 5,000 have another plan; each is staged on the trail, checked, watched and applied as in service. Told is
+the 50th and 99th percentile of requests during which a swap came, of those while a version is read and checked beside the loop, and
+of all others.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+import config as many_settings
+import h11
+
+from winchdyke import interface as api
+from winchdyke.changes.desk import Desk, Propose, Stage
+from winchdyke.changes.edit import text_of
+from winchdyke.config import Config, defaults, parse
+from winchdyke.config.model import Admin, Changes
+from winchdyke.gateway import logs
+from winchdyke.gateway.daemon import Gateway
+from winchdyke.standins.nodelist import ListService
+from winchdyke.standins.record import Record
+from winchdyke.standins.store import Meter, Rack, Shelf, Spec, Store
+from winchdyke.standins.wire import Peer
+
+
+def percentile(values: list[float], percent: float) -> float:
+    """Of a sample; 0 where there is none."""
+    values = sorted(values)
+    return values[min(len(values) - 1, int(len(values) * percent / 100))] if values else 0.0
+
+
+async def client(
+    gateway: Gateway, number: int, took: list[tuple[float, float]], on: Callable[[], bool]
+) -> None:
+    """One closed loop."""
+    peer = Peer(await anyio.connect_tcp(*gateway.address), h11.CLIENT)
+    count = 0
+    while on():
+        count += 1
+        began = time.perf_counter()
+        target = f"/course-x{(number * 331 + count) % 4000}/k{count}"
+        await peer.send(h11.Request(method="GET", target=target, headers=[("host", "t")]), h11.EndOfMessage())
+        while not isinstance(await peer.event(), h11.EndOfMessage):
+            pass
+        peer.h11.start_next_cycle()
+        took.append((began, time.perf_counter()))
+        await anyio.sleep(0.004)
+
+
+async def run(base: Config, versions: list[str], applies: int) -> None:
+    """Play it, and print."""
+    took: list[tuple[float, float]] = []
+    swaps: list[tuple[float, float]] = []
+    checks: list[tuple[float, float]] = []
+    on = True
+    async with anyio.create_task_group() as group:
+        record, stores = Record(), ListService(Record())
+        await stores.start(group)
+        for shard in range(8):
+            store = Store(Spec(shard, unit_ms=0.5), Shelf(), Rack(), Meter(), record, seed=shard)
+            await store.start(group)
+            await stores.set(store.name, "ready", shard, "hall-a")
+        gateway = Gateway(dataclasses.replace(base, nodes=dataclasses.replace(base.nodes, port=stores.port)))
+        assert gateway.live is not None
+        swap = gateway.live._swap
+
+        def timed(prepared: object) -> None:
+            began = time.perf_counter()
+            swap(prepared)  # type: ignore[arg-type]
+            swaps.append((began, time.perf_counter()))
+
+        gateway.live._swap = timed
+        ready = anyio.Event()
+        group.start_soon(gateway.run, ready.set)
+        await ready.wait()
+        for number in range(4000):
+            gateway.engine.take(
+                api.Request(f"r{number}", "fetch", "basic", f"course-x{number}", "k", 1.0, 0, 1, 900.0)
+            )
+        await anyio.sleep(2)
+        for number in range(16):
+            group.start_soon(client, gateway, number, took, lambda: on)
+        await anyio.sleep(3)
+        swaps.clear()
+        desk = Desk(gateway.live.trail, "benchmark", "here")
+        for number in range(applies):
+            text = versions[number % len(versions)]
+            began = time.perf_counter()
+            made = await anyio.to_thread.run_sync(desk.do, Propose(text))
+            await anyio.to_thread.run_sync(desk.do, Stage(made["version"]))
+            while gateway.service.snapshot.version != made["version"]:
+                await anyio.sleep(0.02)
+            checks.append((began, time.perf_counter()))
+            await anyio.sleep(1.0)
+        on = False
+        await anyio.sleep(0.2)
+        group.cancel_scope.cancel()
+
+    def during(spans: list[tuple[float, float]], at: tuple[float, float]) -> bool:
+        return any(at[0] <= end and start <= at[1] for start, end in spans)
+
+    swapped = [at for at in took if during(swaps, at)]
+    checked = [at for at in took if not during(swaps, at) and during(checks, at)]
+    others = [at for at in took if not during(swaps, at) and not during(checks, at)]
+    print(f"{len(swaps)} swaps, the longest {max(end - start for start, end in swaps) * 1000:.2f} ms")
+    for what, found in (("during a swap", swapped), ("while one is checked", checked), ("others", others)):
+        ms = [(end - start) * 1000 for start, end in found]
+        print(
+            f"{what:22} {len(ms):6} requests, p50 {percentile(ms, 50):.2f} ms, p99 {percentile(ms, 99):.2f} ms"
+        )
+
+
+def main() -> None:
+    """Both kinds of change, one after the other."""
+    words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    words.add_argument("--volumes", type=int, default=5000)
+    words.add_argument("--applies", type=int, default=10)
+    chosen = words.parse_args()
+    logs.set_up("none")
+    many_settings.PLANS = ("basic",)
+    plain = parse(defaults() + "\n" + many_settings.many(chosen.volumes, 0))
+    for what in ("one volume", "all volumes"):
+        with tempfile.TemporaryDirectory() as folder:
+            base = dataclasses.replace(plain, changes=Changes(str(Path(folder) / "c")), admin=Admin("none"))
+            text = text_of(base)
+            at = text.index("volume course")
+            count = 1 if what == "one volume" else -1
+            other = text[:at] + text[at:].replace("plan = basic", "plan = school", count)
+            print(what)
+            anyio.run(run, base, [other, text], chosen.applies)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_change_cases.py
+++ b/tests/test_change_cases.py
@@ -511,6 +511,46 @@
     run()
 
 
+def test_requests_that_are_held_while_their_plan_and_volume_go_are_answered_once_under_their_version(
+    tmp_path,
+):
+    @played
+    async def run():
+        async with rig(with_changes(tmp_path), unit_ms=25.0) as it:
+            stop, answers = False, []
+
+            async def load(number: int) -> None:
+                count = 0
+                while not stop:
+                    count += 1
+                    answers.append(await it.ask("GET", f"/contest-{number % 3}/k{number}-{count}"))
+
+            async with anyio.create_task_group() as group:
+                for number in range(60):
+                    group.start_soon(load, number)
+                await it.until(lambda: len(it.gateway.engine.tickets) >= 40)
+                base = it.gateway.live.trail.version(1).text
+                made = await do(it, Set("volume", "contest-*", remove=True))
+                text = it.gateway.live.trail.version(made["version"]).text
+                at = text.index("plan contest {")
+                made = await do(it, Propose(text[:at] + text[text.index("}", at) + 2 :]))
+                assert base != text
+                await do(it, Stage(made["version"]))
+                await serves(it, made["version"])
+                await anyio.sleep(0.5)
+                stop = True
+            told = {answer.headers["x-request-id"]: answer.headers["winchdyke-version"] for answer in answers}
+            assert len(told) == len(answers) and set(told.values()) == {"1", "3"}
+            assert {answer.status for answer in answers} <= {404, 503, 504}
+            assert it.gateway.engine.counts["faults"] == 0
+            heads = [seen for seen in it.record.seen if seen["what"] == "head"]
+            assert all(str(seen["version"]) == told[seen["request"]] for seen in heads)
+            volumes = it.gateway.engine._scheduler.volumes
+            assert {volumes[f"contest-{number}"].plan.name for number in range(3)} == {"basic"}
+
+    run()
+
+
 def test_a_course_that_moves_to_another_plan_in_a_burst_is_answered_all_the_while_and_by_its_new_limit(
     tmp_path,
 ):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -516,7 +516,7 @@
     from winchdyke.days import script
     from winchdyke.days.run import run_day
 
-    verdict, seen, ends = run_day(script.change_day(2, length=14_000.0))
+    verdict, seen, ends = run_day(script.change_day(2, length=18_000.0))
     assert verdict.kept and ends == [0, 0, 0], [ruling.broken[:2] for ruling in verdict.rulings]
     changed = [each for each in seen if each["what"] == "changed"]
     assert len(changed) == 6 and all(each["version"] for each in changed)
--- a/winchdyke/changes/machine.py
+++ b/winchdyke/changes/machine.py
@@ -111,7 +111,7 @@
         # Guards against a harmful version that is served for good because a kill came between an undo's two entries.
         why = f"ended while version {found.serving} was being undone"
         return [Step("undone", found.applying)], f"{why}: version {found.applying} is served"
-    if found.applying:
+    if found.applying and not found.until_ms:
         why = f"ended while version {found.applying} was being applied"
         return [Step("undone", found.serving)], f"{why}: version {found.serving} is served"
     if found.until_ms:
--- a/winchdyke/cli/changes.py
+++ b/winchdyke/cli/changes.py
@@ -305,14 +305,26 @@
 @command.command("show")
 @WHERE
 @click.argument("version", type=int, required=False)
+@click.option(
+    "--difference", is_flag=True, help="What differs from the version it was made from, and who made it why."
+)
 @JSON
 @KEY
-def show(where: str, version: int | None, as_json: bool, key_file: Path | None) -> None:
+def show(where: str, version: int | None, difference: bool, as_json: bool, key_file: Path | None) -> None:
     """The settings of VERSION, or where the gateway stands."""
     call = _at(where, None, key_file)
     found = call(op="standing") if version is None else call(op="show", version=version)
     if as_json:
         click.echo(json.dumps(found))
+    elif version is not None and difference:
+        made = (
+            f", by {found['who']} at {_when(found['unix_ms'])} from {found['origin']}"
+            if "who" in found
+            else ""
+        )
+        why = f": {found['why']}" if found.get("why") else ""
+        click.echo(f"version {version}, from {found['parent']}{made}{why}")
+        click.echo(_changes({"changes": found["difference"]}))
     elif version is not None:
         click.echo(found["text"], nl=False)
     else:
--- a/winchdyke/days/judge.py
+++ b/winchdyke/days/judge.py
@@ -376,6 +376,9 @@
     def _lowered(self, ruling: Ruling) -> None:
         """A limit that was lowered in service holds in sum, plus slack, within 5 s from when it was asked for."""
         changes = [seen for seen in self.by_what["changed"] if seen["how"] == "limit" and seen["version"]]
+        for seen in self.by_what["changed"]:
+            if not seen["version"]:
+                ruling.breaks("a change that was asked for was not taken up", seen)
         if not changes:
             return
         first = min(seen["t"] for seen in self.by_what["changing"] if seen["how"] == "limit")
@@ -398,6 +401,9 @@
                         f"past the lowered limit {head['t'] - first:.0f} ms after it was asked for", head
                     )
             level[head["volume"]] = left, head["t"]
+        for merged in self.by_what["merged"]:
+            if "merged with" not in merged["said"] or "other" not in merged["editors"]:
+                ruling.breaks("of two edits at once, one is not recorded or not applied", merged)
         self.changed["lowered limit holds after ms"] = since - first + late
 
     def _mixed(self, ruling: Ruling) -> None:
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import time
+from datetime import UTC, datetime
 from pathlib import Path
 
 import anyio
@@ -24,6 +25,7 @@
 WARM_UP_S = 0.3
 DRAIN_NOTICE_S = 1.6  # between a deploy's drain and the end of the process
 AFTER_S = 0.2
+INSTANT_S = 3.5  # from when a change is asked for to the instant that it is staged for
 
 
 class DayError(Exception):
@@ -194,7 +196,8 @@
             await anyio.sleep(gap)
 
     async def _change(self, event: script.Event) -> None:
-        """Every gateway is given the same change, each by itself, all of them at about the same time."""
+        """Every gateway is given the same change, each by itself: a limit for one instant, and by two people at once."""
+        at = datetime.fromtimestamp(time.time() + INSTANT_S, UTC).isoformat()
         if event.how == "limit":
             words = ["plan", "basic", f"limit={event.size:g} units/s", f"limit_burst={script.LARGEST}"]
         else:  # a shard that no node has: it passes the checker, and cuts the course off
@@ -205,17 +208,24 @@
             folder = str(self.where / f"changes-{index}")
             said = await self._winchdyke("changes", "set", folder, *words, "--why", event.how)
             version = said.split()[1].rstrip(",") if said.startswith("version") else ""
-            if version:
-                await self._winchdyke("changes", "apply", folder, version)
             course = self.day.volumes[event.on[0]].name if event.on else ""
+            told = {"gateway": f"gateway-{index}", "how": event.how, "version": version, "volume": course}
+            if not version or event.how != "limit":
+                if version:
+                    await self._winchdyke("changes", "apply", folder, version)
+                self.record.note("day", "changed", limit=event.size, **told)
+                return
+            other = ("plan", "contest", "weight=7", "--who", "other")
+            made = (await self._winchdyke("changes", "set", folder, *other)).split()[1].rstrip(",")
+            said = await self._winchdyke("changes", "apply", folder, version, "--at", at)
+            told["version"] = version if "ready" in said else ""
+            self.record.note("day", "changed", limit=event.size, **told)
+            await anyio.sleep(max(0.0, datetime.fromisoformat(at).timestamp() - time.time()) + 0.5)
+            said = await self._winchdyke("changes", "apply", folder, made)
+            log = await self._winchdyke("changes", "log", folder)
+            both = [line.split()[3] for line in log.splitlines() if " proposed " in line]
             self.record.note(
-                "day",
-                "changed",
-                gateway=f"gateway-{index}",
-                how=event.how,
-                limit=event.size,
-                version=version,
-                volume=course,
+                "day", "merged", gateway=told["gateway"], said=said.strip(), editors=",".join(both)
             )
 
         async with anyio.create_task_group() as group:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -122,6 +122,8 @@
 
     def _swap(self, prepared: Prepared) -> None:
         """Other settings from this instant on: nothing else runs while this does."""
+        # Guards against what was asked under the old version and is decided by the new one: its plan may be gone by then.
+        self.engine.turn()
         plans = prepared.plans
         if new := self.engine.accounts(prepared.known):  # that have come since it was prepared
             plans = {**plans, **moved(new, prepared.before, prepared.after)}
--- a/winchdyke/model/changing.py
+++ b/winchdyke/model/changing.py
@@ -7,6 +7,8 @@
     kept       a version that was reported applied for good, or confirmed, is served until another is applied or it is undone
     known      nothing is ever served that was not staged by an editor, or served before
     trial      what was applied on trial, and not confirmed, is not served once its time is up and the gateway has acted
+    gone       what was undone because nobody confirmed it is in nothing that is served later, but where it was staged anew
+    finished   an undo that was begun is finished by a start
 """
 
 from __future__ import annotations
@@ -30,6 +32,8 @@
     target: int = 0
     until: float = 0.0
     made: int = 1
+    parents: tuple[int, ...] = (0, 0)  # by version
+    expired: frozenset[int] = frozenset()  # versions that were undone since nobody confirmed them
     now: float = 1.0
     kills: int = 2
     edits: int = 3
@@ -41,8 +45,10 @@
         found = standing(self.trail)
         if self.edits:
             yield from ("stage", "stage on trial")
-            if found.before:
+            if found.before and found.before != found.serving:
                 yield "undo"
+            if found.staged:
+                yield "withdraw"
         if found.until_ms:
             yield "confirm"
             if self.now < UNTIL + 1:
@@ -68,6 +74,7 @@
             self,
             trail=(*self.trail, Step("staged", version, until_ms=until)),
             made=version,
+            parents=(*self.parents, standing(self.trail).serving),
             edits=self.edits - 1,
         )
 
@@ -75,7 +82,18 @@
         return self._stage(UNTIL)
 
     def _undo(self) -> Changing:
-        step = Step("staged", standing(self.trail).before)
+        found = standing(self.trail)
+        gone = (Step("withdrawn", found.staged),) if found.staged else ()
+        # Asked for by a person: what comes back with it, comes back by their will.
+        return replace(
+            self,
+            trail=(*self.trail, *gone, Step("staged", found.before)),
+            edits=self.edits - 1,
+            expired=self.expired - {found.before},
+        )
+
+    def _withdraw(self) -> Changing:
+        step = Step("withdrawn", standing(self.trail).staged)
         return replace(self, trail=(*self.trail, step), edits=self.edits - 1)
 
     def _confirm(self) -> Changing:
@@ -94,17 +112,28 @@
         trail = (*self.trail, *added)
         serving = standing(trail).serving
         final = serving if added else self.final
-        return replace(self, trail=trail, serves=serving, final=final)
+        if found.undoing and serving != found.applying:
+            raise Broken("finished: a start left an undo that was begun")
+        expired = self.expired | ({found.serving} if found.until_ms and added else set())
+        return replace(self, trail=trail, serves=serving, final=final, expired=frozenset(expired))
 
     def _begin(self) -> Changing:
         found = standing(self.trail)
         step = due(found, self.now)
         assert step is not None
+        if step.what == "applying" and step.version == found.before and step.version != self.made:
+            step = Step("undoing", step.version)  # asked for
         undoing = step.what == "undoing"
+        expired = self.expired
+        if undoing and found.until_ms and step.version != found.staged:
+            expired |= {found.serving}
+        if not undoing and self.parents[step.version] != found.serving and self.careless != "parent":
+            return replace(self, trail=(*self.trail, Step("refused", step.version)))
         until = 0.0 if undoing else found.staged_until_ms
         trail = self.trail if self.careless == "begin" else (*self.trail, step)
         return replace(
-            self, trail=trail, doing=("swap", "undone" if undoing else "applied"), target=step.version, until=until
+            self, trail=trail, doing=("swap", "undone" if undoing else "applied"), target=step.version, until=until,
+            expired=expired,
         )  # fmt: skip
 
     def _go_on(self) -> Changing:
@@ -119,8 +148,17 @@
         final = self.target if what == "undone" or not self.until else self.final
         return replace(self, trail=(*self.trail, step), doing=tuple(rest), target=0, final=final)
 
+    def _within(self, version: int) -> set[int]:
+        found = set()
+        while version:
+            found.add(version)
+            version = self.parents[version]
+        return found
+
     def _check(self) -> None:
         found = standing(self.trail)
+        if self.serves and not self.doing and self._within(self.serves) & self.expired:
+            raise Broken("gone: what nobody confirmed is served within another version")
         staged = {step.version for step in self.trail if step.what == "staged"}
         if self.serves and self.serves not in staged:
             raise Broken("known: a version is served that nobody staged")
@@ -152,5 +190,7 @@
             self.kills,
             self.edits,
             self.final,
+            self.parents,
+            self.expired,
         )
         return standing(self.trail), staged, rest
