A trail is read as it was at one moment; figures in its hashes are as they are stored

Need: of 500 kills one ended in a reader that took where a gateway stood before a move to the archives, and the entries after it. Change: what is read of the trail is read in one transaction; a whole number in a step hashes as the number that is stored. Measured: a reader beside 53 moves fails without the change, and does not with it.

--- a/tests/test_change_cases.py
+++ b/tests/test_change_cases.py
@@ -778,3 +778,30 @@
     assert desk.do(Verify())["wrong"] == []
     with pytest.raises(DeskError, match="Object missing required field"):
         read({"op": "show"})
+
+
+def test_a_trail_that_is_read_while_its_history_is_moved_out_is_read_as_it_was_at_one_moment(tmp_path):
+    """The reader took where it stood before the move and the entries after it: a start or an editor failed on that."""
+    trail, reader, stop = trail_of(tmp_path, 6), Trail(tmp_path), []
+
+    def reading() -> int:
+        count = 0
+        while not stop:
+            found = reader.standing()
+            assert found.serving >= 6 and reader.verify() == []
+            count += 1
+        return count
+
+    with ThreadPoolExecutor(2) as pool:
+        jobs = [pool.submit(reading) for _ in range(2)]
+        try:
+            for number in range(7, 60):
+                trail.propose(f"text {number}", number - 1, "[]", "ann", "", "")
+                trail.add_all(
+                    [(Step(what, number), "") for what in ("staged", "applying", "applied")], "gateway"
+                )
+                trail.prune(3)
+        finally:
+            stop.append(True)
+        assert all(job.result() > 5 for job in jobs)
+    assert trail.verify(archives=True) == []
--- a/winchdyke/changes/trail.py
+++ b/winchdyke/changes/trail.py
@@ -138,6 +138,14 @@
         finally:
             db.close()
 
+    @contextmanager
+    def _reading(self) -> Iterator[sqlite3.Connection]:
+        # Guards against reading half of what a move to the archives does: all is read as it was at one moment.
+        with self._open() as db:
+            db.execute("BEGIN")
+            yield db
+            db.execute("COMMIT")
+
     @contextmanager
     def _writing(self) -> Iterator[sqlite3.Connection]:
         with self._open() as db:
@@ -187,16 +195,16 @@
         last = db.execute("SELECT seq, hash FROM trail ORDER BY seq DESC LIMIT 1").fetchone() or (0, "")
         row = (
             last[0] + 1,
-            step.unix_ms or time.time() * 1000,
+            float(step.unix_ms or time.time() * 1000),
             who,
             step.what,
             step.version,
-            step.until_ms,
+            float(step.until_ms),
             note,
             origin,
         )
-        made = _hash(last[1], row, self._content(db, step), step.at_ms)
-        db.execute(INSERT, (*row, made, step.at_ms))
+        made = _hash(last[1], row, self._content(db, step), float(step.at_ms))
+        db.execute(INSERT, (*row, made, float(step.at_ms)))
 
     @staticmethod
     def _content(db: sqlite3.Connection, step: Step) -> str:
@@ -217,22 +225,22 @@
 
     def standing(self) -> Standing:
         """Where the gateway stands."""
-        with self._open() as db:
+        with self._reading() as db:
             return self._standing(db)
 
     def last(self) -> int:
         """The number of the last entry."""
-        with self._open() as db:
+        with self._reading() as db:
             return int(db.execute("SELECT COALESCE(MAX(seq), 0) FROM trail").fetchone()[0])
 
     def entries(self) -> list[Entry]:
         """All entries, the oldest first."""
-        with self._open() as db:
+        with self._reading() as db:
             return [Entry(*row) for row in db.execute(f"SELECT {COLUMNS} FROM trail ORDER BY seq")]
 
     def after(self, seq: int) -> list[Entry]:
         """The entries behind one, the oldest first."""
-        with self._open() as db:
+        with self._reading() as db:
             return [
                 Entry(*row)
                 for row in db.execute(f"SELECT {COLUMNS} FROM trail WHERE seq > ? ORDER BY seq", (seq,))
@@ -240,7 +248,7 @@
 
     def version(self, number: int) -> Version:
         """A version. TrailError where there is none of that number."""
-        with self._open() as db:
+        with self._reading() as db:
             row = db.execute(
                 "SELECT id, parent, text, difference FROM versions WHERE id = ?", (number,)
             ).fetchone()
@@ -268,7 +276,7 @@
 
     def export(self) -> Iterator[str]:
         """All of it as lines of JSON: the versions, then the trail with its hashes."""
-        with self._open() as db:
+        with self._reading() as db:
             for row in db.execute("SELECT id, parent, text, difference FROM versions ORDER BY id").fetchall():
                 yield json.dumps({"version": row}, ensure_ascii=False)
             for row in db.execute(f"SELECT {COLUMNS} FROM trail ORDER BY seq").fetchall():
@@ -351,7 +359,7 @@
 
     def archived(self) -> Iterator[Entry]:
         """The entries that were moved to the archives, the oldest first. TrailError where one can't be read."""
-        with self._open() as db:
+        with self._reading() as db:
             last = (_pruned(db) or {"seq": 0})["seq"]
         for path in self.archives():
             for number, line in enumerate(path.read_text(encoding="utf-8").splitlines(), 1):
@@ -366,7 +374,7 @@
     def verify(self, archives: bool = False) -> list[str]:
         """What does not fit in the chain, in words; nothing where all does. ``archives``: those count as well."""
         said = self._unfit_archives() if archives else []
-        with self._open() as db:
+        with self._reading() as db:
             return said + self._unfit(db)
 
     def _unfit_archives(self) -> list[str]:
@@ -383,7 +391,7 @@
                         entries.append((path.name, Entry(*found["entry"])))
                 except (ValueError, TypeError, KeyError, IndexError) as error:
                     said.append(f"{path.name}, line {number}: not a line of a trail: {error}")
-        with self._open() as db:
+        with self._reading() as db:
             told = _pruned(db)
         before = ""
         for name, entry in entries:
