--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 from rig import played, rig, settings
 
-from winchdyke.admin import keys as keyring
+from winchdyke import files
 from winchdyke.admin.client import There
 from winchdyke.admin.keys import Key, KeysError, Ring, made, read, write
 from winchdyke.admin.signing import SKEW_S, Guard, Message, NotSigned, sign
@@ -286,7 +286,7 @@
     def full(_: int) -> None:
         raise OSError(28, "No space left on device")
 
-    monkeypatch.setattr(keyring.os, "fsync", full)
+    monkeypatch.setattr(files.os, "fsync", full)
     with pytest.raises(KeysError, match="No space"):
         write(path, [])
     assert path.read_bytes() == before
--- a/winchdyke/admin/keys.py
+++ b/winchdyke/admin/keys.py
@@ -7,14 +7,12 @@
 from __future__ import annotations
 
 import base64
-import os
 import secrets
-import stat
 from pathlib import Path
 
 import msgspec
 
-from winchdyke.files import sync_folder
+from winchdyke.files import OwnError, Watched, read_own, write_own
 
 SECRET_BYTES = 32
 
@@ -48,16 +46,9 @@
 def read(path: Path) -> list[Key]:
     """The keys in a file. KeysError where others than its owner may read it, or it holds something else."""
     try:
-        descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
-        with open(descriptor, "rb") as file:
-            found = os.fstat(descriptor)
-            data = file.read(1 << 20)
-    except OSError as error:
-        raise KeysError(
-            f"{path} can't be read: {error.strerror}; 'winchdyke keys new' makes such a file"
-        ) from error
-    if not stat.S_ISREG(found.st_mode) or found.st_mode & 0o077 or found.st_uid not in (os.geteuid(), 0):
-        raise KeysError(f"{path} must be a file that its owner alone may read and write: chmod 600 {path}")
+        data = read_own(path)
+    except OwnError as error:
+        raise KeysError(f"{error}; 'winchdyke keys new' makes such a file") from error
     try:
         keys = msgspec.json.decode(data, type=_File).keys
         if any(len(key.raw()) < SECRET_BYTES for key in keys):
@@ -71,17 +62,10 @@
 
 def write(path: Path, keys: list[Key]) -> None:
     """Write a file of keys whole: it is never seen half written, nor readable to others."""
-    new = path.with_name(path.name + f".{os.getpid()}.new")
     try:
-        descriptor = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        with open(descriptor, "wb") as file:
-            file.write(msgspec.json.format(msgspec.json.encode(_File(keys)), indent=2) + b"\n")
-            file.flush()
-            os.fsync(file.fileno())
-        new.replace(path)
-        sync_folder(path.parent)
-    except OSError as error:
-        raise KeysError(f"{path} can't be written: {error.strerror}") from error
+        write_own(path, msgspec.json.format(msgspec.json.encode(_File(keys)), indent=2) + b"\n")
+    except OwnError as error:
+        raise KeysError(str(error)) from error
 
 
 def made(who: str, now_ms: float, until_ms: float = 0.0) -> Key:
@@ -95,19 +79,12 @@
 
     def __init__(self, path: Path) -> None:
         self.path = path
-        self._stamp: tuple[int, ...] = ()
-        self._keys: dict[str, Key] = {}
+        self._keys = Watched(path, lambda path: {key.id: key for key in read(path)})
 
     def find(self, name: str, now_ms: float) -> Key | None:
         """The key of an id that counts now. KeysError where the file can't be used: then nobody's does."""
         try:
-            found = self.path.stat()
+            key = self._keys.get().get(name)
         except OSError as error:
             raise KeysError(f"{self.path} can't be read: {error.strerror}") from error
-        stamp = (found.st_mtime_ns, found.st_ino, found.st_size, found.st_mode, found.st_uid)
-        if stamp != self._stamp:
-            self._keys, self._stamp = {}, ()
-            self._keys = {key.id: key for key in read(self.path)}
-            self._stamp = stamp
-        key = self._keys.get(name)
         return key if key is not None and key.good(now_ms) else None
--- a/winchdyke/cli/keys.py
+++ b/winchdyke/cli/keys.py
@@ -78,7 +78,7 @@
 @FILE
 @click.argument("name", metavar="ID")
 @click.option(
-    "--overlap", default="1d", show_default=True, metavar="TIME", help="How long the old one counts still."
+    "--overlap", default="24h", show_default=True, metavar="TIME", help="How long the old one counts still."
 )
 @click.option(
     "--to", type=click.Path(path_type=Path, dir_okay=False), help="Write the new one to a file for its owner."
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -508,6 +508,7 @@
         accounts=model.Accounts(**values["accounts", ""]),
         changes=model.Changes(**values["changes", ""]),
         admin=model.Admin(**values["admin", ""]),
+        s3=model.S3(**values["s3", ""]),
         limits=model.Limits(**values["limits", ""]),
         nodes=model.Discovery(
             host,
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -73,6 +73,19 @@
     keys: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class S3:
+    """The S3 dialect's listener, its keys, and what is let in without one (``none``, ``read`` or ``all``)."""
+
+    listen: Listen | None = None
+    domain: str = ""
+    keys: str = ""
+    master: str = ""
+    unsigned: str = "none"
+    part_least: int = 5 << 20
+    upload_keep: float = 7 * 24 * 3600 * 1000.0
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Bounds on what clients and stores may use of this gateway."""
@@ -175,6 +188,7 @@
     accounts: Accounts
     changes: Changes
     admin: Admin
+    s3: S3
     limits: Limits
     nodes: Discovery
     rules: Rules
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -113,6 +113,22 @@
             "keys": Key(t.Type(), '""', "A file of keys, readable by its owner alone; see `winchdyke keys`."),
         },
     ),
+    "s3": Kind(
+        "The object API as S3 clients speak it, at a listener of its own.",
+        {
+            "listen": Key(t.Address(), NONE, "Where to listen; no S3 where not given."),
+            "domain": Key(t.Type(), '""', "Names under this domain are buckets (virtual-host style)."),
+            "keys": Key(t.Type(), '""', "A file of access keys, its owner's alone; see `winchdyke access`."),
+            "master": Key(t.Type(), '""', "A file with the master key that their secrets are sealed with."),
+            "unsigned": Key(
+                t.OneOf(allowed=("none", "read", "all")), "none", "What is let in without a signature."
+            ),
+            "part_least": Key(t.Size(), "5MiB", "Bytes of every part of an upload but its last."),
+            "upload_keep": _time(
+                "168h", "How long an upload that nobody touches is kept.", 60 * S, 90 * 24 * 3600 * S
+            ),
+        },
+    ),
     "nodes": Kind(
         "The list service.",
         {
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -25,12 +25,13 @@
 from winchdyke.gateway.engine import Engine
 from winchdyke.gateway.pool import NO_DESCRIPTORS, Connection, DialError, Pool
 from winchdyke.gateway.service import Service, Snapshot
-from winchdyke.http1 import End, Need
+from winchdyke.http1 import End, Need, RequestHead
 from winchdyke.nodes.belief import Bounds as Belief
 from winchdyke.nodes.belief import Word
 from winchdyke.nodes.membership import Membership
 from winchdyke.nodes.sources import FileSource, HttpSource, Source, SrvSource
 from winchdyke.objects import answers, storewire
+from winchdyke.s3.service import S3
 
 LAST_WORD_S = 0.1  # at a stop, before connections at rest are closed
 LAST_ACCEPT_S = 0.01  # at a stop, for connections that wait to be accepted
@@ -41,6 +42,9 @@
 TELL_MS = 500.0  # between words in the ledger on what is held now
 
 
+Handle = Callable[[ClientConnection, RequestHead], Awaitable[None]]
+
+
 class StartError(Exception):
     """The gateway could not start; says why and what to do."""
 
@@ -67,6 +71,7 @@
         self.address = ("", 0)
         self.addresses: list[tuple[str, int]] = []
         self.admin_addresses: list[object] = []
+        self.s3: S3 | None = None
         self._connections: set[ClientConnection] = set()
         self._admins: set[ClientConnection] = set()
         self._stop = anyio.Event()
@@ -182,8 +187,8 @@
     async def run(self, started: Callable[[], None] = lambda: None) -> None:
         """Serve until stopped. StartError where the address can't be listened at."""
         listeners = await self._listen()
-        admins = await self._admin_listeners(listeners)
-        self.addresses = [listener.extra(SocketAttribute.local_address)[:2] for listener in listeners]  # type: ignore[misc]
+        admins = await self._admin_listeners([listener for listener, _ in listeners])
+        self.addresses = [listener.extra(SocketAttribute.local_address)[:2] for listener, _ in listeners]  # type: ignore[misc]
         self.address = self.addresses[0]
         async with anyio.create_task_group() as group:
             group.start_soon(self.engine.run)
@@ -193,8 +198,8 @@
             if self.live is not None:
                 group.start_soon(self.live.run)
             accepting: list[anyio.CancelScope] = []
-            for listener in listeners:
-                group.start_soon(self._accept, listener, accepting, group)
+            for listener, handle in listeners:
+                group.start_soon(self._accept, listener, handle, accepting, group)
             if self.live is not None and admins:
                 admin = Admin(self.config.admin, self.live.trail)
                 for listener in admins:
@@ -221,21 +226,25 @@
             "stopped", pool=str(self.pool), **{key.lower(): n for key, n in self.engine.counts.items()}
         )
 
-    async def _listen(self) -> list[SocketListener]:
-        found: list[SocketListener] = []
-        for name, where in self.config.listeners:
+    async def _listen(self) -> list[tuple[SocketListener, Handle]]:
+        asked = [(f"listener {name}", where, self.service.handle) for name, where in self.config.listeners]
+        if self.config.s3.listen is not None:
+            self.s3 = S3(self.service, self.config.s3)
+            asked.append(("s3, listen", self.config.s3.listen, self.s3.handle))
+        found: list[tuple[SocketListener, Handle]] = []
+        for name, where, handle in asked:
             try:
                 multi = await anyio.create_tcp_listener(
                     local_host=where.host, local_port=where.port, backlog=BACKLOG
                 )
             except OSError as error:
-                for listener in found:
+                for listener, _ in found:
                     await listener.aclose()
                 reason = error.strerror or error
                 raise StartError(
-                    f"can't listen at {where.host}:{where.port}: {reason}; see listener {name}"
+                    f"can't listen at {where.host}:{where.port}: {reason}; see {name}"
                 ) from error
-            found += [listener for listener in multi.listeners if isinstance(listener, SocketListener)]
+            found += [(each, handle) for each in multi.listeners if isinstance(each, SocketListener)]
         return found
 
     async def _admin_listeners(self, others: list[SocketListener]) -> list[SocketListener]:
@@ -284,7 +293,7 @@
                     group.start_soon(one, stream)
 
     async def _accept(
-        self, listener: SocketListener, scopes: list[anyio.CancelScope], group: TaskGroup
+        self, listener: SocketListener, handle: Handle, scopes: list[anyio.CancelScope], group: TaskGroup
     ) -> None:
         async with listener:
             with anyio.CancelScope() as mine:
@@ -299,17 +308,17 @@
                         await anyio.sleep(ACCEPT_PAUSE_S)
                         continue
                     _hold_back(stream)
-                    group.start_soon(self._connection, stream)
+                    group.start_soon(self._connection, stream, handle)
             # Guards against a reset for those whom the host had let in and this gateway not yet, on a host that is behind.
             while True:
                 with anyio.move_on_after(LAST_ACCEPT_S) as none_left:
                     stream = await listener.accept()
                     _hold_back(stream)
-                    group.start_soon(self._connection, stream)
+                    group.start_soon(self._connection, stream, handle)
                 if none_left.cancelled_caught:
                     return
 
-    async def _connection(self, stream: SocketStream) -> None:
+    async def _connection(self, stream: SocketStream, handle: Handle) -> None:
         connection = ClientConnection(stream, self.config.limits, self.engine.clock)
         if len(self._connections) >= self.config.limits.connections:
             connection.close_after = True
@@ -319,7 +328,7 @@
             return
         self._connections.add(connection)
         try:
-            await connection.run(self.service.handle)
+            await connection.run(handle)
         except Exception as error:
             self._log.error("connection", exc_info=error)
         finally:
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -31,6 +31,14 @@
 BODIES = ("put", "post", "put-part", "complete-upload")
 
 
+@dataclass(slots=True)
+class Source:
+    """Where a request's body comes from; ``length`` None: not known before."""
+
+    read: Callable[[], Awaitable[Bytes]]
+    length: int | None
+
+
 @dataclass(slots=True)
 class Final:
     """The one final answer to a request."""
@@ -42,6 +50,7 @@
     retry_after_ms: float | None = None
     answer: Answer | None = None
     relayed: bool = False
+    parts: list[bytes] | None = None  # of what was asked of several shards, as they answered
 
 
 class Snapshot:
@@ -195,9 +204,10 @@
         if route is not None and route.shards:
             volume = dataclasses.replace(volume, shards=route.shards)
         asked = operation.class_name or (route.class_name if route is not None else "") or None
-        kind = config.kind_for(operation.name, asked)
+        name = "list" if operation.name == "list-uploads" else operation.name
+        kind = config.kind_for(name, asked)
         if kind is None and not operation.class_name:
-            kind = config.kind_for(operation.name, None)
+            kind = config.kind_for(name, None)
         if kind is None:
             asked = f" in class {operation.class_name!r}" if operation.class_name else ""
             raise RequestError(400, "no-class", f"no class is set up for {operation.name}{asked}")
@@ -210,6 +220,23 @@
         asked = Asked(head.method, operation.volume, operation.key, head.length or 0, headers)
         return config.matcher.match(asked)
 
+    async def carry(
+        self,
+        connection: ClientConnection,
+        head: RequestHead,
+        operation: routes.Operation,
+        request: str,
+        record: Record,
+        snapshot: Snapshot,
+        source: Source | None = None,
+        sink: Sink | None = None,
+    ) -> tuple[Kind, Final]:
+        """Carry out one operation for another dialect; nothing is said to the client but what goes into ``sink``."""
+        kind, volume = self._settings_of(snapshot, operation, head)
+        return kind, await self._keyed(
+            connection, head, operation, kind, volume, request, record, source, sink
+        )
+
     async def _keyed(
         self,
         connection: ClientConnection,
@@ -219,17 +246,19 @@
         volume: VolumeRule,
         request: str,
         record: Record,
+        source: Source | None = None,
+        sink: Sink | None = None,
     ) -> Final:
         """One at a time for a client's Idempotency-Key, as the IETF's draft on that header has it."""
         mine = (operation.volume, operation.idempotency_key)
         if not operation.idempotency_key:
-            return await self._one(connection, head, operation, kind, volume, request, record)
+            return await self._one(connection, head, operation, kind, volume, request, record, source, sink)
         if mine in self._keys:
             text = "a request with this Idempotency-Key is under way; wait for its answer"
             return Final(409, "refused", "key-in-use", text, 1000.0)
         self._keys.add(mine)
         try:
-            return await self._one(connection, head, operation, kind, volume, request, record)
+            return await self._one(connection, head, operation, kind, volume, request, record, source, sink)
         finally:
             self._keys.discard(mine)
 
@@ -242,22 +271,25 @@
         volume: VolumeRule,
         request: str,
         record: Record,
+        source: Source | None = None,
+        sink: Sink | None = None,
     ) -> Final:
         limits, rules = self.config.limits, kind.rules
+        source = source or Source(self._bounded(connection), head.length)
         left = min(rules.deadline_ms, operation.time_left_ms or rules.deadline_ms) - limits.answer_margin
         body: ReplayBody | None = None
         if operation.name in BODIES:
-            if head.length is not None and head.length > limits.object_bytes:
+            if source.length is not None and source.length > limits.object_bytes:
                 raise RequestError(
-                    413, "too-large", f"{head.length} bytes; {limits.object_bytes} is the most here"
+                    413, "too-large", f"{source.length} bytes; {limits.object_bytes} is the most here"
                 )
             try:
                 keep = self.engine.settings.max_attempts > 1
-                body = ReplayBody(self._bounded(connection), head.length, self.bodies, keep)
+                body = ReplayBody(source.read, source.length, self.bodies, keep)
             except BodyStoreFull:
                 return self._full()
         largest = self.engine.settings.largest_units
-        units = routes.units(operation, head.length, kind.unit_bytes, kind.usual_units, largest)
+        units = routes.units(operation, source.length, kind.unit_bytes, kind.usual_units, largest)
         ask = api.Request(
             id=request,
             class_name=rules.name,
@@ -272,7 +304,7 @@
             left_ms=max(0.0, left),
         )
         record.ask = ask
-        if operation.name == "list":
+        if operation.name in ("list", "list-uploads"):
             if record.course is not None:
                 record.course.phase("store")  # its parts are requests of their own, side by side
             return await self._listed(connection, operation, ask, volume, record)
@@ -289,7 +321,7 @@
             return Outgoing(operation.store_method, operation.target(key), headers, body)
 
         try:
-            return await self._exchange(ticket, outgoing, operation, connection, connection, record)
+            return await self._exchange(ticket, outgoing, operation, sink or connection, connection, record)
         finally:
             if body is not None:
                 body.close()
@@ -548,12 +580,16 @@
         async with anyio.create_task_group() as group:
             for number, shard in enumerate(volume.shards):
                 group.start_soon(one, number, shard)
-        pages = []
+        pages: list[listing.Page] = []
         for final in sorted(
             finals, key=lambda final: ("gone", "failed", "refused", "served").index(final.outcome)
         ):
             if final.answer is None:
                 return final if not final.relayed else Final(502, "failed", "list-too-large")
+        if operation.name == "list-uploads":
+            return Final(200, "served", "ok", parts=[f.answer.body for f in finals if f.answer is not None])
+        for final in finals:
+            assert final.answer is not None
             try:
                 pages.append(msgspec.json.decode(final.answer.body, type=listing.Page))
             except msgspec.DecodeError:
--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import h11
 
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 Headers = list[tuple[bytes, bytes]]
 Bytes = bytes | bytearray
 
@@ -149,7 +151,8 @@
 
     def answer(self, status: int, headers: Headers) -> bytes:
         """An answer's head."""
-        return self._h11.send(h11.Response(status_code=status, headers=headers)) or b""
+        reason = PHRASES.get(status, b"")  # some clients read none of a status line that ends with its number
+        return self._h11.send(h11.Response(status_code=status, headers=headers, reason=reason)) or b""
 
     def data(self, data: Bytes) -> Bytes:
         """A piece of an answer's body."""
--- a/winchdyke/objects/listing.py
+++ b/winchdyke/objects/listing.py
@@ -13,6 +13,7 @@
     key: str
     size: int
     etag: str
+    modified: str = ""  # as in Last-Modified, where the store tells it
 
 
 class Page(msgspec.Struct):
--- a/winchdyke/objects/routes.py
+++ b/winchdyke/objects/routes.py
@@ -55,6 +55,8 @@
     def target(self, key: str | None = None) -> bytes:
         """The path and query at a store, in one canonical spelling."""
         path = f"/{quote(self.volume, safe='')}"
+        if self.name == "list-uploads":
+            return (path + "?uploads").encode()
         if self.name == "list":
             asked = f"?list&limit={self.limit}"
             asked += f"&prefix={quote(self.prefix, safe='')}" if self.prefix else ""
@@ -73,13 +75,14 @@
     def store_method(self) -> str:
         """The method at a store: a new object of no fixed place is put under the name it was given."""
         methods = {
-            "list": "GET", "list-parts": "GET", "post": "PUT", "put-part": "PUT", "start-upload": "POST",
+            "list": "GET", "list-parts": "GET", "list-uploads": "GET", "post": "PUT", "put-part": "PUT", "start-upload": "POST",
             "complete-upload": "POST", "abort-upload": "DELETE",
         }  # fmt: skip
         return methods.get(self.name, self.name.upper())
 
 
-def _path(raw: str) -> tuple[str, str]:
+def volume_and_key(raw: str) -> tuple[str, str]:
+    """Volume and key of a path as it was sent; the key is empty where none is named. RequestError."""
     if not raw.startswith("/"):
         raise RequestError(400, "bad-path", "the path must begin with /VOLUME")
     volume, slash, rest = raw[1:].partition("/")
@@ -124,6 +127,11 @@
     return dict(pairs)
 
 
+def is_upload(text: str) -> bool:
+    """Whether this may be an upload's id."""
+    return bool(_UPLOAD.fullmatch(text))
+
+
 def _number(query: dict[str, str], name: str, most: int, default: int) -> int:
     text = query.get(name)
     if text is None:
@@ -185,7 +193,7 @@
             400, "bad-path", "the path holds bytes that are not ASCII; percent-encode them"
         ) from error
     raw, _, asked = target.partition("?")
-    volume, key = _path(raw)
+    volume, key = volume_and_key(raw)
     known = ("prefix", "after", "limit") if not key else ("uploads", "uploadId", "partNumber")
     query = _query(asked, dict.fromkeys(known)) if asked != "uploads" else {"uploads": ""}
     name = _which(head.method, key, query)
--- /dev/null
+++ b/winchdyke/s3/service.py
@@ -0,0 +1,854 @@
+"""From an S3 client's request to its one final answer: let in, translated, carried through the scheduler, and told as S3 has it.
+
+Each step that touches a store is an operation of the object API's, with the deadline that is left. Nothing is decided here about
+where and when: that is the scheduler's. What a refusal means to a client is :mod:`winchdyke.s3.errors`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from email.utils import parsedate_to_datetime
+from pathlib import Path
+
+import anyio
+import msgspec
+import structlog
+
+from winchdyke.auth import sigv4
+from winchdyke.auth.keys import Access, KeysError, Right, may, sees
+from winchdyke.config.model import S3 as Settings
+from winchdyke.gateway.attempts import ClientLeft
+from winchdyke.gateway.clients import ClientConnection
+from winchdyke.gateway.service import Final, Record, Service, Snapshot, Source
+from winchdyke.http1 import AnswerHead, Bytes, Headers, ProtocolError, RequestHead
+from winchdyke.objects import listing as native
+from winchdyke.objects import ranges, routes, storewire
+from winchdyke.objects.answers import RequestError
+from winchdyke.s3 import checksums, listing, multipart, requests, xml
+from winchdyke.s3.body import PACKED, Body, Wanted
+from winchdyke.s3.errors import S3Error, of_final
+from winchdyke.s3.requests import Asked
+
+DOCUMENT = (
+    16 << 20
+)  # bytes of a store's answer that is read whole: the parts of an upload, a page of a listing
+AT_ONCE = 8  # deletes of one request under way together
+PIPE = 4  # pieces of a copy between its reading and its writing
+ROUNDS = 64  # pages asked of the stores for one page of a listing
+ALL = [Right("*", "", ["list", "read", "write", "delete"])]
+
+
+class Collect:
+    """A sink that keeps an answer whole, up to a bound."""
+
+    def __init__(self, most: int = DOCUMENT) -> None:
+        self.data_, self._most, self.head = bytearray(), most, None
+
+    head: AnswerHead | None
+
+    async def begin_stream(self, head: AnswerHead) -> None:
+        """Take the head."""
+        self.head = head
+
+    async def data(self, data: Bytes) -> None:
+        """Take a piece."""
+        self.data_ += data
+        if len(self.data_) > self._most:
+            raise ClientLeft
+
+    async def finish(self) -> None:
+        """The end."""
+
+
+class Relay:
+    """A sink that hands an object's answer to the client as S3 has it."""
+
+    def __init__(self, connection: ClientConnection, overrides: Headers) -> None:
+        self._to, self._overrides = connection, overrides
+
+    def told(self, head: AnswerHead) -> AnswerHead:
+        """The head with the headers that the client asked for in place of those that are kept."""
+        names = {name for name, _ in self._overrides}
+        headers = [(name, value) for name, value in head.headers if name not in names] + self._overrides
+        return AnswerHead(head.status, headers, head.length)
+
+    async def begin_stream(self, head: AnswerHead) -> None:
+        """Pass the head on."""
+        await self._to.begin_stream(self.told(head))
+
+    async def data(self, data: Bytes) -> None:
+        """Pass a piece on."""
+        await self._to.data(data)
+
+    async def finish(self) -> None:
+        """Pass the end on."""
+        await self._to.finish()
+
+
+class Pipe:
+    """What is read from one store on its way to another."""
+
+    def __init__(self) -> None:
+        self._send, self._receive = anyio.create_memory_object_stream[bytes](PIPE)
+        self.begun, self.head = anyio.Event(), AnswerHead(0, [], None)
+        self.whole = False
+
+    async def begin_stream(self, head: AnswerHead) -> None:
+        """The source is there."""
+        self.head = head
+        self.begun.set()
+
+    async def data(self, data: Bytes) -> None:
+        """A piece of it."""
+        await self._send.send(bytes(data))
+
+    async def finish(self) -> None:
+        """It is whole."""
+        self.whole = True
+
+    def close(self) -> None:
+        """Nothing more comes."""
+        self._send.close()
+        self.begun.set()
+
+    async def read(self) -> bytes:
+        """The next piece; ProtocolError where the source broke off."""
+        try:
+            return await self._receive.receive()
+        except anyio.EndOfStream:
+            if not self.whole:
+                raise ProtocolError(500, "body-cut", "what was copied broke off") from None
+            return b""
+
+
+class S3:
+    """The S3 dialect at one gateway."""
+
+    def __init__(self, service: Service, settings: Settings, wall: Callable[[], float] = time.time) -> None:
+        self.service, self.settings, self.wall = service, settings, wall
+        self.access = Access(Path(settings.keys), Path(settings.master)) if settings.keys else None
+        self._born, self._count = uuid.uuid4().hex[:20], 0
+        self._log = structlog.get_logger("s3")
+
+    async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
+        """Answer one request; whatever happens, once."""
+        service = self.service
+        self._count += 1
+        call = Call(self, connection, head, f"{self._born}{self._count:012x}")
+        told: Headers = [(b"x-amz-request-id", call.request.encode())]
+        if call.snapshot.version:
+            told.append((storewire.VERSION, str(call.snapshot.version).encode()))
+        connection.begin(told, close=service.stopping)
+        connection.unread_length = head.length
+        service.active += 1
+        try:
+            await call.run()
+        except S3Error as error:
+            await self._refuse(call, error)
+        except RequestError as error:
+            code = {"no-volume": "NoSuchBucket", "too-large": "EntityTooLarge"}.get(
+                error.reason, "InvalidArgument"
+            )
+            await self._refuse(call, S3Error(code, str(error)))
+        except ProtocolError as error:
+            code = {413: "EntityTooLarge", 408: "RequestTimeout"}.get(error.status, "IncompleteBody")
+            await self._refuse(call, S3Error(code, str(error), 400))
+        except ClientLeft:
+            connection.close_after = True
+        except Exception as error:
+            self._log.error("internal", request=call.request, exc_info=error)
+            await self._refuse(
+                call, S3Error("InternalError", "this went wrong inside; see the gateway's log")
+            )
+        finally:
+            service.active -= 1
+            connection.on_gone = None
+            call.ended()
+
+    async def _refuse(self, call: Call, error: S3Error) -> None:
+        connection = call.connection
+        call.outcome = (
+            "refused" if error.code == "SlowDown" else "failed" if error.status >= 500 else "served"
+        )
+        call.code = error.code
+        if connection.eof or not connection.codec.can_answer:
+            connection.close_after = True
+            return
+        body = xml.error(
+            error.code, error.text, call.head.target.partition(b"?")[0].decode("latin-1"), call.request
+        )
+        headers: Headers = [
+            (b"content-type", b"application/xml"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if error.retry_after_ms is not None:
+            headers.append((b"retry-after", str(max(1, round(error.retry_after_ms / 1000 + 0.49))).encode()))
+        if error.status == 304:
+            headers, body = [], b""
+        await connection.answer(error.status, headers, b"" if call.head.method == "HEAD" else body)
+
+
+class Call:
+    """One request while it is answered."""
+
+    def __init__(self, s3: S3, connection: ClientConnection, head: RequestHead, request: str) -> None:
+        self.s3, self.connection, self.head, self.request = s3, connection, head, request
+        self.service = s3.service
+        self.snapshot: Snapshot = s3.service.snapshot
+        self.began, self._steps = self.service.clock(), 0
+        self.asked: Asked | None = None
+        self.rights: list[Right] = []
+        self.signed = sigv4.Signed("", sigv4.UNSIGNED)
+        self.record = Record(version=self.snapshot.version)
+        self.outcome, self.code, self.who = "served", "", ""
+        self.end = float("inf")
+
+    async def run(self) -> None:
+        """Let in, and answer."""
+        asked = self.asked = requests.read(self.head, self.s3.settings.domain)
+        self._let_in(asked)
+        if asked.bucket and self.snapshot.volume(asked.bucket) is None:
+            raise S3Error("NoSuchBucket", f"no volume {asked.bucket!r} is set up here")
+        doing: Callable[[Asked], Awaitable[None]] = getattr(self, "_" + asked.spoken.name)
+        await doing(asked)
+
+    def ended(self) -> None:
+        """Tell those who count, and the log."""
+        asked = self.asked
+        if asked is not None and asked.bucket and self.service.on_end is not None:
+            shard = self.record.ask.shard if self.record.ask is not None else -1
+            self.service.on_end(asked.bucket, shard, self.outcome, self.service.clock() - self.began)
+        structlog.get_logger("access").info(
+            "s3", request=self.request, who=self.who, operation=asked.spoken.name if asked else None,
+            bucket=asked.bucket if asked else None, status=self.connection.status, code=self.code,
+            attempts=self.record.attempts, nodes=self.record.nodes, total_ms=round(self.service.clock() - self.began, 2),
+        )  # fmt: skip
+
+    # Who it is, and what they may
+
+    def _let_in(self, asked: Asked) -> None:
+        head, now = self.head, self.s3.wall()
+        request = sigv4.Signable(head.method, asked.path, asked.raw_query, tuple(head.headers))
+        if not sigv4.is_signed(request):
+            word = self.s3.settings.unsigned
+            if word == "all" or (word == "read" and asked.spoken.right in ("read", "list")):
+                self.rights, self.who = ALL, "anyone"
+                if head.get(b"x-amz-content-sha256") in PACKED:
+                    self.signed.payload = sigv4.UNSIGNED_TRAILER
+                return
+            raise S3Error("AccessDenied", "the request is not signed")
+        access = self.s3.access
+        found: list[tuple[list[Right], str]] = []
+
+        def secret_of(name: str) -> str | None:
+            if access is None:
+                return None
+            try:
+                key = access.find(name, now * 1000)
+            except KeysError as error:
+                self.s3._log.error("keys", trouble=str(error))
+                raise S3Error(
+                    "ServiceUnavailable", "keys can't be looked at now; see the gateway's log"
+                ) from error
+            if key is None:
+                return None
+            found[:] = [(key[0].rights, key[0].who)]
+            return key[1]
+
+        try:
+            self.signed = sigv4.verify(request, secret_of, now)
+        except sigv4.AuthError as error:
+            raise S3Error(error.code, error.text, error.status) from error
+        self.rights, self.who = found[0]
+        right = asked.spoken.right
+        if right != "own" and asked.spoken.level != "service":
+            name = asked.key if asked.spoken.level == "object" else asked.query.get("prefix", "")
+            if asked.spoken.name == "DeleteObjects":
+                return  # each key by itself
+            bare = asked.spoken.level == "bucket" and asked.spoken.name.startswith(
+                ("Head", "Create", "GetBucket")
+            )
+            allowed = sees(self.rights, asked.bucket) if bare else may(self.rights, right, asked.bucket, name)
+            if not allowed:
+                raise S3Error("AccessDenied", f"this key has no right to {right} here")
+
+    # Steps
+
+    async def _do(
+        self,
+        name: str,
+        volume: str,
+        key: str = "",
+        source: Source | None = None,
+        sink: object = None,
+        **more: object,
+    ) -> Final:
+        """One operation of the object API, in the time that is left."""
+        self._steps += 1
+        request = self.request if self._steps == 1 else f"{self.request}.{self._steps}"
+        now = self.service.clock()
+        left = None if self.end == float("inf") else max(1.0, self.end - now)
+        operation = routes.Operation(name, volume, key, time_left_ms=left, **more)  # type: ignore[arg-type]
+        length = source.length if source is not None else 0
+        head = RequestHead(operation.store_method, operation.target(), self.head.headers, length)
+        record = Record(version=self.snapshot.version)
+        try:
+            kind, final = await self.service.carry(
+                self.connection, head, operation, request, record, self.snapshot, source or Source(_nothing, 0),
+                sink if sink is not None else Collect(),  # type: ignore[arg-type]
+            )  # fmt: skip
+        finally:
+            self.record.attempts += record.attempts
+            self.record.nodes += record.nodes
+            self.record.ask = self.record.ask or record.ask
+        if self._steps == 1:
+            self.end = self.began + kind.rules.deadline_ms
+        if final.outcome == "gone":
+            raise ClientLeft
+        return final
+
+    def _answered(self, final: Final, missing: str = "NoSuchKey") -> AnswerHead:
+        """The head of a store's whole answer. S3Error where it says no, or where no store said anything."""
+        if final.relayed:
+            self.outcome = final.outcome
+            if final.outcome != "served":
+                self.connection.close_after = True
+            raise ClientLeft  # all that can be said was said
+        if final.answer is None:
+            self.outcome = final.outcome
+            raise of_final(final.status, final.outcome, final.reason, final.text, final.retry_after_ms)
+        head = final.answer.head
+        if head.status < 300:
+            return head
+        text = {404: missing, 412: "PreconditionFailed", 416: "InvalidRange", 304: "NotModified"}.get(
+            head.status
+        )
+        if text is None:
+            raise S3Error("InvalidRequest", f"the store answered {head.status}", 400)
+        raise S3Error(text, _WORDS.get(text, text), head.status)
+
+    async def _whole(self, final: Final, sink: Collect, missing: str) -> bytes:
+        """The body of an answer that is read whole, however large it came."""
+        if final.relayed and final.outcome == "served" and sink.head is not None:
+            return bytes(sink.data_)
+        if final.relayed:
+            raise S3Error("InternalError", "a store's answer broke off or is too large")
+        self._answered(final, missing)
+        assert final.answer is not None
+        return final.answer.body
+
+    async def _say(self, status: int, body: bytes = b"", headers: Headers = []) -> None:  # noqa: B006
+        told: Headers = [*headers]
+        if status != 204:
+            told.append((b"content-length", str(len(body)).encode()))
+        if body:
+            told.append((b"content-type", b"application/xml"))
+        await self.connection.answer(status, told, b"" if self.head.method == "HEAD" else body)
+
+    def _etag(self, head: AnswerHead) -> str:
+        return head.get(b"etag") or ""
+
+    # Bodies
+
+    def _source(self) -> tuple[Source, Body]:
+        """The client's body, unpacked and checked."""
+        head = self.head
+        payload = head.get(b"x-amz-content-sha256") or self.signed.payload
+        if self.signed.payload not in (sigv4.UNSIGNED, sigv4.UNSIGNED_TRAILER):
+            payload = self.signed.payload
+        packed = payload in PACKED
+        wanted = Wanted(payload, self.signed.chunks, head.length, packed=packed)
+        if packed:
+            text = head.get(b"x-amz-decoded-content-length")
+            if text is None or not text.isascii() or not text.isdigit() or len(text) > 15:
+                raise S3Error("MissingContentLength", "x-amz-decoded-content-length is missing", 411)
+            wanted.length = int(text)
+        md5 = head.get(b"content-md5")
+        if md5 is not None:
+            wanted.md5 = checksums.decoded(md5)
+            if wanted.md5 is None or len(wanted.md5) != 16:
+                raise S3Error("InvalidDigest", "Content-MD5 is no MD5 in base64")
+        for name, value in head.headers:
+            sum_name = name.decode("latin-1").removeprefix(checksums.PREFIX)
+            if name.startswith(checksums.PREFIX.encode()) and sum_name not in ("algorithm", "mode", "type"):
+                self._known(sum_name)
+                wanted.sums[sum_name] = checksums.decoded(value.decode("latin-1"))
+                if wanted.sums[sum_name] is None:
+                    raise S3Error("InvalidRequest", f"{name.decode()} is not base64")
+        if trailer := head.get(b"x-amz-trailer"):
+            if not packed or not payload.endswith("TRAILER"):
+                raise S3Error("InvalidRequest", "x-amz-trailer goes with a body in chunks that has a trailer")
+            for each in trailer.split(","):
+                sum_name = each.strip().lower().removeprefix(checksums.PREFIX)
+                self._known(sum_name)
+                wanted.sums[sum_name] = None
+        body = Body(wanted)
+        most, got, over = self.service.config.limits.object_bytes, 0, False
+
+        async def read() -> bytes:
+            nonlocal got, over
+            while not over:
+                data = await self.connection.body()
+                got += len(data)
+                if got > most + most // 8:
+                    raise ProtocolError(413, "too-large", f"the object is larger than {most} bytes")
+                try:
+                    ready = body.feed(data) if data else body.finish()
+                except S3Error as error:
+                    raise _Wrong(error) from error
+                over = not data
+                if ready:
+                    return ready
+            return b""
+
+        return Source(read, wanted.length), body
+
+    @staticmethod
+    def _known(name: str) -> None:
+        if name not in checksums.MADE:
+            known = ", ".join(checksums.MADE)
+            raise S3Error("NotImplemented", f"the checksum {name!r} is not spoken here; {known} are")
+
+    async def _document(self) -> bytes:
+        """A document that the client sends, checked."""
+        source, _ = self._source()
+        got = bytearray()
+        if (source.length or 0) > xml.LARGEST:
+            raise S3Error("EntityTooLarge", f"a document has at most {xml.LARGEST} bytes")
+        while data := await _unwrapped(source.read):
+            got += data
+            if len(got) > xml.LARGEST:
+                raise S3Error("EntityTooLarge", f"a document has at most {xml.LARGEST} bytes")
+        return bytes(got)
+
+    # Buckets
+
+    async def _ListBuckets(self, _: Asked) -> None:
+        names = sorted(
+            rule.pattern for rule in self.snapshot.config.volumes
+            if not set("*?[") & set(rule.pattern) and sees(self.rights, rule.pattern)
+        )  # fmt: skip
+        buckets: list[xml.Value] = [
+            {"Name": name, "CreationDate": "1970-01-01T00:00:00.000Z"} for name in names
+        ]
+        owner: xml.Value = {"ID": self.who, "DisplayName": self.who}
+        await self._say(
+            200, xml.document("ListAllMyBucketsResult", {"Owner": owner, "Buckets": {"Bucket": buckets}})
+        )
+
+    async def _HeadBucket(self, _: Asked) -> None:
+        await self._say(200, b"", [(b"x-amz-bucket-region", b"us-east-1")])
+
+    async def _CreateBucket(self, asked: Asked) -> None:
+        await self._document()
+        await self._say(200, b"", [(b"location", f"/{asked.bucket}".encode())])
+
+    async def _DeleteBucket(self, _: Asked) -> None:
+        raise S3Error("AccessDenied", "volumes are made and removed in the gateway's settings alone")
+
+    async def _GetBucketLocation(self, _: Asked) -> None:
+        await self._say(200, xml.document("LocationConstraint", {}))
+
+    async def _GetBucketVersioning(self, _: Asked) -> None:
+        await self._say(200, xml.document("VersioningConfiguration", {}))
+
+    # Objects
+
+    async def _GetObject(self, asked: Asked) -> None:
+        overrides: Headers = []
+        for name, header in requests.OVERRIDES.items():
+            if name in asked.query:
+                if not self.signed.key and self.s3.settings.unsigned != "all":
+                    raise S3Error("InvalidRequest", "response headers are set by signed requests alone")
+                value = asked.query[name]
+                if not value.isprintable() or not value.isascii():
+                    raise S3Error("InvalidArgument", f"{name} is no value of a header")
+                overrides.append((header, value.encode()))
+        relay = Relay(self.connection, overrides)
+        name = "head" if self.head.method == "HEAD" else "get"
+        final = await self._do(
+            name, asked.bucket, asked.key, sink=relay, passed=requests.conditions(self.head),
+            range=ranges.parse(self.head.get(b"range")),
+        )  # fmt: skip
+        if final.relayed:
+            self.outcome = final.outcome
+            if final.outcome != "served":
+                self.connection.close_after = True
+            return
+        if final.answer is not None and final.answer.head.status == 304:
+            return await self.connection.answer(304, storewire.onward(final.answer.head.headers), b"")
+        self._answered(final)
+        assert final.answer is not None
+        told = relay.told(final.answer.head)
+        await self.connection.answer(told.status, storewire.onward(told.headers), final.answer.body)
+
+    _HeadObject = _GetObject
+
+    async def _PutObject(self, asked: Asked) -> None:
+        if self.head.length is None and self.head.get(b"x-amz-decoded-content-length") is None:
+            raise S3Error("MissingContentLength", "Content-Length is missing", 411)
+        source, body = self._source()
+        passed = requests.kept(self.head) + requests.conditions(self.head)
+        final = await self._with_body("put", asked, source, passed=passed)
+        await self._put_answer(final, body, "NoSuchBucket")
+
+    async def _with_body(self, name: str, asked: Asked, source: Source, **more: object) -> Final:
+        wrong: list[S3Error] = []
+        read = source.read
+
+        async def noted() -> Bytes:
+            try:
+                return await read()
+            except _Wrong as error:
+                wrong.append(error.error)
+                raise
+
+        final = await self._do(name, asked.bucket, asked.key, Source(noted, source.length), **more)
+        if wrong:
+            raise wrong[0]
+        return final
+
+    async def _put_answer(self, final: Final, body: Body, missing: str) -> None:
+        head = self._answered(final, missing)
+        told: Headers = [(b"etag", self._etag(head).encode())]
+        for name, value in body.sums.items():
+            told.append(((checksums.PREFIX + name).encode(), checksums.shown(value.digest()).encode()))
+        await self._say(200, b"", told)
+
+    async def _DeleteObject(self, asked: Asked) -> None:
+        final = await self._do("delete", asked.bucket, asked.key, passed=requests.conditions(self.head))
+        if final.answer is None or final.answer.head.status != 404:  # what is not there is deleted
+            self._answered(final)
+        await self._say(204)
+
+    async def _DeleteObjects(self, asked: Asked) -> None:
+        keys, quiet = xml.deletion(await self._document())
+        done: dict[str, S3Error | None] = {}
+        places = anyio.CapacityLimiter(AT_ONCE)
+
+        async def one(key: str) -> None:
+            async with places:
+                try:
+                    if not may(self.rights, "delete", asked.bucket, key):
+                        raise S3Error("AccessDenied", "this key has no right to delete here")
+                    volume, read = routes.volume_and_key(f"/{asked.bucket}/{requests.spelled(key)}")
+                    final = await self._do("delete", volume, read)
+                    if final.answer is None or final.answer.head.status != 404:
+                        self._answered(final)
+                    done[key] = None
+                except S3Error as error:
+                    done[key] = error
+                except RequestError as error:
+                    done[key] = S3Error("InvalidArgument", str(error))
+
+        async with anyio.create_task_group() as group:
+            for key in dict.fromkeys(keys):
+                group.start_soon(one, key)
+        told: dict[str, xml.Value] = {
+            "Deleted": [{"Key": key} for key in keys if done[key] is None and not quiet],
+            "Error": [
+                {"Key": key, "Code": error.code, "Message": error.text}
+                for key in keys for error in [done[key]] if error is not None
+            ],
+        }  # fmt: skip
+        await self._say(200, xml.document("DeleteResult", told))
+
+    async def _copied(self, put: Callable[[Source, AnswerHead], Awaitable[Final]]) -> Final:
+        """What the request names is read from its store and handed to ``put`` as it comes."""
+        bucket, key, part = requests.copy_source(self.head)
+        if self.snapshot.volume(bucket) is None:
+            raise S3Error("NoSuchBucket", f"no volume {bucket!r} is set up here")
+        if not may(self.rights, "read", bucket, key):
+            raise S3Error("AccessDenied", "this key has no right to read what is copied")
+        names = {
+            b"x-amz-copy-source-if-match": b"if-match", b"x-amz-copy-source-if-none-match": b"if-none-match",
+            b"x-amz-copy-source-if-modified-since": b"if-modified-since",
+            b"x-amz-copy-source-if-unmodified-since": b"if-unmodified-since",
+        }  # fmt: skip
+        passed = tuple((names[name], value) for name, value in self.head.headers if name in names)
+        pipe, finals = Pipe(), list[Final]()
+
+        async def get() -> None:
+            try:
+                finals.append(await self._do("get", bucket, key, sink=pipe, passed=passed, range=part))
+            finally:
+                pipe.close()
+
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(get)
+                await pipe.begun.wait()
+                if pipe.head.status == 0:  # a small one, or none
+                    head = (
+                        self._answered(finals[0])
+                        if finals[0].answer is None or finals[0].answer.head.status != 304
+                        else None
+                    )
+                    if head is None:
+                        raise S3Error("PreconditionFailed", "what is copied is as it was")
+                    assert finals[0].answer is not None
+                    return await put(_bytes(finals[0].answer.body), head)
+                made = await put(Source(pipe.read, pipe.head.length), pipe.head)
+                if not pipe.whole:
+                    group.cancel_scope.cancel()
+                return made
+        except BaseExceptionGroup as group_error:
+            found = group_error.subgroup(S3Error)
+            while isinstance(found, BaseExceptionGroup):
+                found = found.exceptions[0]  # type: ignore[assignment]
+            if isinstance(found, S3Error):
+                raise found from None
+            raise
+        raise AssertionError("a copy ends with an answer or an error")
+
+    async def _CopyObject(self, asked: Asked) -> None:
+        word = self.head.get(b"x-amz-metadata-directive") or "COPY"
+        if word not in ("COPY", "REPLACE"):
+            raise S3Error("InvalidArgument", f"x-amz-metadata-directive is COPY or REPLACE, not {word!r}")
+        if requests.copy_source(self.head)[:2] == (asked.bucket, asked.key) and word == "COPY":
+            raise S3Error(
+                "InvalidRequest", "a copy onto itself has to change something: REPLACE the metadata"
+            )
+
+        async def put(source: Source, head: AnswerHead) -> Final:
+            kept = requests.kept(self.head) if word == "REPLACE" else _kept_of(head)
+            return await self._do("put", asked.bucket, asked.key, source, passed=kept)
+
+        head = self._answered(await self._copied(put), "NoSuchBucket")
+        told: dict[str, xml.Value] = {"ETag": self._etag(head), "LastModified": _stamp(self.s3.wall())}
+        await self._say(200, xml.document("CopyObjectResult", told))
+
+    # Listings
+
+    async def _page(self, volume: str, prefix: str, after: str, limit: int) -> native.Page:
+        sink = Collect()
+        final = await self._do("list", volume, sink=sink, prefix=prefix, after=after, limit=limit)
+        data = await self._whole(final, sink, "NoSuchBucket")
+        return msgspec.json.decode(data, type=native.Page)
+
+    async def _folded(self, asked: Asked, after: str) -> listing.Fold:
+        query = asked.query
+        prefix, delimiter = query.get("prefix", ""), query.get("delimiter", "")
+        most = asked.number("max-keys", requests.LIST_MOST, requests.LIST_MOST)
+        fold = listing.Fold(prefix, delimiter, most, after)
+        if most == 0:
+            return fold
+        for _ in range(ROUNDS):
+            page = await self._page(
+                asked.bucket, prefix, fold.after, min(requests.LIST_MOST, most - fold.count + 1)
+            )
+            skipped = fold.take(page.objects)
+            if fold.full or (page.next is None and not skipped):
+                return fold
+            if not skipped and page.next is not None:
+                fold.after = max(fold.after, page.next)
+        fold.full = True  # as far as it came: the client goes on from there
+        return fold
+
+    def _told(self, asked: Asked, fold: listing.Fold) -> dict[str, xml.Value]:
+        spell = requests.spelled if asked.query.get("encoding-type") == "url" else str
+        if asked.query.get("encoding-type") not in (None, "url"):
+            raise S3Error("InvalidArgument", "encoding-type is url")
+        return {
+            "Name": asked.bucket, "Prefix": spell(fold.prefix), "Delimiter": spell(fold.delimiter) if fold.delimiter else None,
+            "MaxKeys": fold.most, "EncodingType": asked.query.get("encoding-type"), "IsTruncated": fold.full,
+            "Contents": [
+                {
+                    "Key": spell(entry.key), "LastModified": _iso(entry.modified), "ETag": entry.etag, "Size": entry.size,
+                    "StorageClass": "STANDARD",
+                }
+                for entry in fold.keys
+            ],
+            "CommonPrefixes": [{"Prefix": spell(each)} for each in fold.prefixes],
+        }  # fmt: skip
+
+    async def _ListObjectsV2(self, asked: Asked) -> None:
+        given, first = asked.query.get("continuation-token"), asked.query.get("start-after", "")
+        after = listing.untoken(given) if given else first
+        if given:
+            after = listing.start(after, asked.query.get("delimiter", ""), asked.query.get("prefix", ""))
+        fold = await self._folded(asked, after)
+        told = self._told(asked, fold)
+        told |= {
+            "KeyCount": fold.count, "ContinuationToken": given, "StartAfter": first or None,
+            "NextContinuationToken": listing.token(fold.last or after) if fold.full else None,
+        }  # fmt: skip
+        await self._say(200, xml.document("ListBucketResult", told))
+
+    async def _ListObjects(self, asked: Asked) -> None:
+        marker, delimiter = asked.query.get("marker", ""), asked.query.get("delimiter", "")
+        fold = await self._folded(asked, listing.start(marker, delimiter, asked.query.get("prefix", "")))
+        told = self._told(asked, fold) | {"Marker": marker, "NextMarker": fold.last if fold.full else None}
+        await self._say(200, xml.document("ListBucketResult", told))
+
+    # Uploads in parts
+
+    async def _CreateMultipartUpload(self, asked: Asked) -> None:
+        final = await self._do("start-upload", asked.bucket, asked.key, passed=requests.kept(self.head))
+        self._answered(final, "NoSuchBucket")
+        assert final.answer is not None
+        upload = msgspec.json.decode(final.answer.body)["uploadId"]
+        told: dict[str, xml.Value] = {"Bucket": asked.bucket, "Key": asked.key, "UploadId": upload}
+        await self._say(200, xml.document("InitiateMultipartUploadResult", told))
+
+    def _upload(self, asked: Asked) -> str:
+        if not routes.is_upload(asked.upload):
+            raise S3Error("NoSuchUpload", "no such upload was started here")
+        return asked.upload
+
+    async def _UploadPart(self, asked: Asked) -> None:
+        number, upload = asked.number("partNumber", requests.PART_MOST, 0, 1), self._upload(asked)
+        source, body = self._source()
+        final = await self._with_body("put-part", asked, source, upload=upload, part=number)
+        await self._put_answer(final, body, "NoSuchUpload")
+
+    async def _UploadPartCopy(self, asked: Asked) -> None:
+        number, upload = asked.number("partNumber", requests.PART_MOST, 0, 1), self._upload(asked)
+
+        async def put(source: Source, _: AnswerHead) -> Final:
+            return await self._do("put-part", asked.bucket, asked.key, source, upload=upload, part=number)
+
+        head = self._answered(await self._copied(put), "NoSuchUpload")
+        told: dict[str, xml.Value] = {"ETag": self._etag(head), "LastModified": _stamp(self.s3.wall())}
+        await self._say(200, xml.document("CopyPartResult", told))
+
+    async def _parts(self, asked: Asked, upload: str) -> list[multipart.Kept]:
+        sink = Collect()
+        final = await self._do("list-parts", asked.bucket, asked.key, sink=sink, upload=upload)
+        return msgspec.json.decode(await self._whole(final, sink, "NoSuchUpload"), type=multipart.Parts).parts
+
+    async def _ListParts(self, asked: Asked) -> None:
+        upload = self._upload(asked)
+        most, after = (
+            asked.number("max-parts", 1000, 1000),
+            asked.number("part-number-marker", requests.PART_MOST, 0),
+        )
+        parts = [part for part in await self._parts(asked, upload) if part.partNumber > after]
+        shown = parts[:most]
+        told: dict[str, xml.Value] = {
+            "Bucket": asked.bucket, "Key": asked.key, "UploadId": upload, "PartNumberMarker": after, "MaxParts": most,
+            "NextPartNumberMarker": shown[-1].partNumber if shown else after, "IsTruncated": len(parts) > len(shown),
+            "Part": [{"PartNumber": part.partNumber, "ETag": part.etag, "Size": part.size} for part in shown],
+        }  # fmt: skip
+        await self._say(200, xml.document("ListPartsResult", told))
+
+    async def _ListMultipartUploads(self, asked: Asked) -> None:
+        prefix, marker = asked.query.get("prefix", ""), asked.query.get("key-marker", "")
+        upload_marker = asked.query.get("upload-id-marker", "")
+        most = asked.number("max-uploads", 1000, 1000)
+        found = [
+            upload for upload in await self.uploads(asked.bucket)
+            if upload.key.startswith(prefix)
+            and ((upload.key, upload.uploadId) > (marker, upload_marker) if upload_marker else upload.key > marker)
+        ]  # fmt: skip
+        found.sort(key=lambda upload: (upload.key, upload.uploadId))
+        shown = found[:most]
+        told: dict[str, xml.Value] = {
+            "Bucket": asked.bucket, "KeyMarker": marker, "UploadIdMarker": upload_marker, "MaxUploads": most,
+            "IsTruncated": len(found) > len(shown), "Prefix": prefix,
+            "NextKeyMarker": shown[-1].key if len(found) > len(shown) else None,
+            "NextUploadIdMarker": shown[-1].uploadId if len(found) > len(shown) else None,
+            "Upload": [
+                {"Key": each.key, "UploadId": each.uploadId, "Initiated": _stamp(each.since_ms / 1000)} for each in shown
+            ],
+        }  # fmt: skip
+        await self._say(200, xml.document("ListMultipartUploadsResult", told))
+
+    async def uploads(self, volume: str) -> list[multipart.Upload]:
+        """The uploads of a volume that are under way, over all its shards."""
+        final = await self._do("list-uploads", volume)
+        if final.parts is None:
+            self._answered(final, "NoSuchBucket")
+            raise S3Error("InternalError", "the stores told nothing of uploads")
+        return [
+            upload for part in final.parts for upload in msgspec.json.decode(part, type=multipart.Uploads).uploads
+        ]  # fmt: skip
+
+    async def _AbortMultipartUpload(self, asked: Asked) -> None:
+        self._answered(
+            await self._do("abort-upload", asked.bucket, asked.key, upload=self._upload(asked)),
+            "NoSuchUpload",
+        )
+        await self._say(204)
+
+    async def _CompleteMultipartUpload(self, asked: Asked) -> None:
+        upload = self._upload(asked)
+        wanted = xml.completion(await self._document())
+        try:
+            parts = await self._parts(asked, upload)
+        except S3Error as error:
+            if error.code != "NoSuchUpload":
+                raise
+            parts = None  # it may be complete already: the store knows, and gives the first one's answer
+        if parts is not None:
+            multipart.fits(wanted, parts, self.s3.settings.part_least)
+        body = msgspec.json.encode(
+            {"parts": [{"partNumber": part.number, "etag": part.etag} for part in wanted]}
+        )
+        passed = requests.conditions(self.head)
+        final = await self._do(
+            "complete-upload", asked.bucket, asked.key, _bytes(body), upload=upload, passed=passed
+        )
+        if final.answer is not None and final.answer.head.status == 400:
+            raise S3Error("InvalidPart", "a part is not the one that was put: it was put anew meanwhile")
+        head = self._answered(final, "NoSuchUpload")
+        told: dict[str, xml.Value] = {
+            "Location": f"/{asked.bucket}/{requests.spelled(asked.key)}", "Bucket": asked.bucket, "Key": asked.key,
+            "ETag": self._etag(head),
+        }  # fmt: skip
+        await self._say(200, xml.document("CompleteMultipartUploadResult", told))
+
+
+_WORDS = {
+    "NoSuchKey": "The specified key does not exist.", "NoSuchUpload": "no such upload is under way",
+    "PreconditionFailed": "a condition of the request does not hold", "InvalidRange": "the range is outside of the object",
+}  # fmt: skip
+
+
+class _Wrong(ProtocolError):
+    """A body that does not fit: what is under way at a store is broken off."""
+
+    def __init__(self, error: S3Error) -> None:
+        super().__init__(error.status, "body-cut", error.text)
+        self.error = error
+
+
+async def _unwrapped(read: Callable[[], Awaitable[Bytes]]) -> Bytes:
+    try:
+        return await read()
+    except _Wrong as wrong:
+        raise wrong.error from None
+
+
+async def _nothing() -> bytes:
+    return b""
+
+
+def _bytes(data: bytes) -> Source:
+    left = [data] if data else []
+
+    async def read() -> bytes:
+        return left.pop() if left else b""
+
+    return Source(read, len(data))
+
+
+def _kept_of(head: AnswerHead) -> tuple[tuple[bytes, bytes], ...]:
+    return tuple(
+        (name, value)
+        for name, value in head.headers
+        if name in requests.KEPT or name.startswith(b"x-amz-meta-")
+    )
+
+
+def _iso(text: str) -> str:
+    with contextlib.suppress(ValueError, TypeError):
+        return parsedate_to_datetime(text).strftime("%Y-%m-%dT%H:%M:%S.000Z")
+    return "1970-01-01T00:00:00.000Z"
+
+
+def _stamp(unix_s: float) -> str:
+    return time.strftime("%Y-%m-%dT%H:%M:%S.000Z", time.gmtime(unix_s))
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -8,11 +8,14 @@
 import hashlib
 import json
 import random
+import time
 import uuid
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
+from email.utils import formatdate
+from functools import partial
 from typing import Any
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, quote, unquote, urlsplit
 
 import anyio
 import h11
@@ -22,6 +25,15 @@
 from winchdyke.standins.wire import Peer, accept_all, listen, port_of
 
 LONG_MS = 3_600_000.0  # up for, where its start was not cold
+KEPT = (
+    "content-type",
+    "content-disposition",
+    "content-encoding",
+    "content-language",
+    "cache-control",
+    "expires",
+)
+_md5 = partial(hashlib.md5, usedforsecurity=False)
 TRICKS = (
     "die-on-accept", "die-mid-request", "die-after-run", "die-mid-head", "die-mid-answer", "short-answer",
     "long-answer", "trickle", "no-http", "shed", "error", "silence", "reset-after-run", "wrong-range",
@@ -61,6 +73,11 @@
 
     objects: dict[tuple[str, str], tuple[bytes, str]] = field(default_factory=dict)
     uploads: dict[str, tuple[str, str, dict[int, bytes]]] = field(default_factory=dict)
+    kept: dict[tuple[str, str], list[tuple[str, str]]] = field(default_factory=dict)  # headers of objects
+    begun: dict[str, tuple[float, float, list[tuple[str, str]]]] = field(default_factory=dict)  # of uploads
+    done: dict[str, tuple[str, str, str]] = field(
+        default_factory=dict
+    )  # completed uploads: whose, and the tag
     made: int = 0
 
 
@@ -418,7 +435,9 @@
     def _apply(self, asked: Asked, job: Job) -> None:
         if asked.method not in ("GET", "HEAD"):
             self.record.note(self.name, "effect", object=asked.key, query=sorted(asked.query), **asked.told())
-        if not asked.key:
+        if not asked.key and "uploads" in asked.query:
+            self._uploads(asked, job)
+        elif not asked.key:
             self._list(asked, job)
         elif "uploads" in asked.query or "uploadId" in asked.query:
             self._multipart(asked, job)
@@ -426,6 +445,7 @@
             self._put(asked, job)
         elif asked.method == "DELETE":
             found = self.shelf.objects.pop((asked.volume, asked.key), None)
+            self.shelf.kept.pop((asked.volume, asked.key), None)
             self._answer(job, 204 if found else 404)
         else:
             self._get(asked, job)
@@ -439,7 +459,16 @@
         if status != 204:
             job.headers.append(("content-length", str(len(body))))
 
-    def _put(self, asked: Asked, job: Job) -> None:
+    @staticmethod
+    def _kept(asked: Asked) -> list[tuple[str, str]]:
+        """The headers that are kept with an object: what it is, and what its owner says of it."""
+        return [
+            (name, value)
+            for name, value in asked.headers.items()
+            if name in KEPT or name.startswith("x-amz-meta-")
+        ]
+
+    def _put(self, asked: Asked, job: Job, tag: str = "", keep: list[tuple[str, str]] | None = None) -> None:
         where = (asked.volume, asked.key)
         have = self.shelf.objects.get(where)
         wanted, unless = asked.headers.get("if-match"), asked.headers.get("if-none-match")
@@ -449,10 +478,14 @@
             self._answer(job, 412)
             return
         data = bytes(asked.body)
-        tag = f'"{hashlib.md5(data, usedforsecurity=False).hexdigest()}"'
+        tag = tag or f'"{hashlib.md5(data, usedforsecurity=False).hexdigest()}"'
         self.shelf.objects[where] = (data, tag)
+        self.shelf.kept[where] = [*(keep or self._kept(asked)), ("last-modified", formatdate(usegmt=True))]
         self._answer(
-            job, 200 if have else 201, b"", [("etag", tag), ("location", f"/{asked.volume}/{asked.key}")]
+            job,
+            200 if have else 201,
+            b"",
+            [("etag", tag), ("location", f"/{asked.volume}/{quote(asked.key)}")],
         )
 
     def _get(self, asked: Asked, job: Job) -> None:
@@ -469,7 +502,10 @@
             self._answer(job, 304, b"", [("etag", tag)])
             job.headers = [("etag", tag)]
             return
-        headers = [("etag", tag), ("accept-ranges", "bytes"), ("content-type", "application/octet-stream")]
+        kept = self.shelf.kept.get((asked.volume, asked.key), [])
+        headers = [("etag", tag), ("accept-ranges", "bytes"), *kept]
+        if not any(name == "content-type" for name, _ in kept):
+            headers.append(("content-type", "application/octet-stream"))
         asked_range = asked.headers.get("range")
         if asked_range and asked.headers.get("if-range") in (None, tag):
             first, _, last = asked_range.removeprefix("bytes=").partition("-")
@@ -489,8 +525,17 @@
             self.shelf.made += 1
             upload = f"u{self.spec.shard}-{self.shelf.made}"
             uploads[upload] = (asked.volume, asked.key, {})
+            now = time.time() * 1000
+            self.shelf.begun[upload] = (now, now, self._kept(asked))
             self._json(job, 200, {"uploadId": upload})
             return
+        if asked.method == "POST" and self.shelf.done.get(upload, ("", "", ""))[:2] == (
+            asked.volume,
+            asked.key,
+        ):
+            # A repeat of a completion, by whoever: the first one's answer.
+            self._answer(job, 200, b"", [("etag", self.shelf.done[upload][2])])
+            return
         if upload not in uploads or uploads[upload][:2] != (asked.volume, asked.key):
             self._json(job, 404, {"message": "no such upload"})
             return
@@ -498,27 +543,60 @@
         if asked.method == "PUT":
             data = bytes(asked.body)
             parts[int(asked.query["partNumber"])] = data
+            began, _, kept = self.shelf.begun[upload]
+            self.shelf.begun[upload] = (began, time.time() * 1000, kept)
             self._answer(
                 job, 200, b"", [("etag", f'"{hashlib.md5(data, usedforsecurity=False).hexdigest()}"')]
             )
         elif asked.method == "GET":
             self._json(
-                job, 200, {"parts": [{"partNumber": n, "size": len(d)} for n, d in sorted(parts.items())]}
+                job,
+                200,
+                {
+                    "parts": [
+                        {"partNumber": n, "size": len(d), "etag": f'"{_md5(d).hexdigest()}"'}
+                        for n, d in sorted(parts.items())
+                    ]
+                },
             )
         elif asked.method == "DELETE":
-            del uploads[upload]
+            del uploads[upload], self.shelf.begun[upload]
             self._answer(job, 204)
         else:
             try:
                 wanted = json.loads(bytes(asked.body) or b"{}").get("parts", sorted(parts))
             except ValueError:
                 wanted = None
+            tags = {n: _md5(d) for n, d in parts.items()}
+            if wanted and all(
+                isinstance(each, dict) for each in wanted
+            ):  # with tags: all must be as they were put
+                if any(
+                    each["partNumber"] not in tags
+                    or tags[each["partNumber"]].hexdigest() != each["etag"].strip('"')
+                    for each in wanted
+                ):
+                    self._json(job, 400, {"message": "a part is not the one that was put"})
+                    return
+                wanted = [each["partNumber"] for each in wanted]
             if not wanted or any(number not in parts for number in wanted) or sorted(wanted) != wanted:
                 self._json(job, 400, {"message": "the parts named are not those that were put, in order"})
                 return
             asked.body = bytearray(b"".join(parts[number] for number in wanted))
-            del uploads[upload]
-            self._put(asked, job)
+            whole = _md5(b"".join(tags[number].digest() for number in wanted)).hexdigest()
+            tag = f'"{whole}-{len(wanted)}"'
+            self._put(asked, job, tag, self.shelf.begun[upload][2])
+            if job.status != 412:
+                del uploads[upload], self.shelf.begun[upload]
+                self.shelf.done[upload] = (asked.volume, asked.key, tag)
+
+    def _uploads(self, asked: Asked, job: Job) -> None:
+        found = [
+            {"key": key, "uploadId": upload, "since_ms": self.shelf.begun[upload][0], "touched_ms": self.shelf.begun[upload][1]}
+            for upload, (volume, key, _) in sorted(self.shelf.uploads.items())
+            if volume == asked.volume
+        ]  # fmt: skip
+        self._json(job, 200, {"uploads": found})
 
     def _list(self, asked: Asked, job: Job) -> None:
         prefix, after = asked.query.get("prefix", ""), asked.query.get("after", "")
@@ -526,7 +604,13 @@
         here = {key: value for (volume, key), value in self.shelf.objects.items() if volume == asked.volume}
         keys = sorted(key for key in here if key.startswith(prefix) and key > after)
         shown = keys[:limit]
-        objects = [{"key": key, "size": len(here[key][0]), "etag": here[key][1]} for key in shown]
+        dates = {
+            key: dict(self.shelf.kept.get((asked.volume, key), [])).get("last-modified", "") for key in shown
+        }
+        objects = [
+            {"key": key, "size": len(here[key][0]), "etag": here[key][1], "modified": dates[key]}
+            for key in shown
+        ]
         self._json(job, 200, {"objects": objects, "next": shown[-1] if len(keys) > limit else None})
 
     def _json(self, job: Job, status: int, value: object) -> None:
