S3: hard cases of parts, bodies, rights and presigned URLs; keys and forgotten uploads

Need: what goes wrong between a client and its parts had no tests; keys had no command; an upload that nobody completes stayed. Change: 'winchdyke access' (keys with rights, sealed, rotated, withdrawn), 'winchdyke s3 spoken'; forgotten uploads are aborted through the scheduler; signature version 2 is told apart. Tests: bodies that do not fit store nothing; rights by volume and prefix; presigned URLs expired, altered, of another method; clients that leave in and between parts; a store that takes a part and goes silent, resets, dies or sheds; four completions of one upload at two gateways; a part put anew meanwhile; SlowDown with Retry-After; hostile documents.

--- a/tests/test_s3.py
+++ b/tests/test_s3.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import io
 import os
-import threading
+import time
 import urllib.error
 import urllib.request
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -23,6 +25,7 @@
 
 from winchdyke.auth.keys import Right, made, new_master, write
 from winchdyke.config.model import S3, Listen
+from winchdyke.gateway.daemon import Gateway
 
 MIB = 1 << 20
 ALL = [Right("*", "", ["list", "read", "write", "delete"])]
@@ -61,7 +64,9 @@
     return boto3.client(
         "s3", endpoint_url=address(it), aws_access_key_id=keys.key.id, aws_secret_access_key=keys.secret,
         region_name="us-east-1",
-        config=BotoConfig(s3={"addressing_style": "path"}, retries={"max_attempts": 8, "mode": "standard"}, **more),
+        config=BotoConfig(
+            signature_version="s3v4", s3={"addressing_style": "path"}, retries={"max_attempts": 8, "mode": "standard"}, **more,
+        ),
     )  # fmt: skip
 
 
@@ -325,4 +330,346 @@
     run()
 
 
-_ = threading
+# What goes wrong on the way
+
+
+def raw_request(it: Rig, keys: Keys, method: str, path: str, body: bytes = b"", **headers: str) -> bytes:
+    """A signed request's head, as bytes on the wire, for clients that do not play along."""
+    from botocore.auth import S3SigV4Auth
+    from botocore.awsrequest import AWSRequest
+    from botocore.credentials import Credentials
+
+    more = {name.replace("_", "-"): value for name, value in headers.items()}
+    request = AWSRequest(method, address(it) + path, data=body, headers=more)
+    S3SigV4Auth(Credentials(keys.key.id, keys.secret), "s3", "us-east-1").add_auth(request)
+    lines = [f"{method} {path} HTTP/1.1", f"host: {address(it)[7:]}", f"content-length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in request.headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def sent(it: Rig, data: bytes, cut: bool = False) -> bytes:
+    """Send bytes to the S3 listener; what comes back until it closes or says all."""
+    host, port = it.gateway.addresses[-1]
+    stream = await anyio.connect_tcp(host, port)
+    got = b""
+    await stream.send(data)
+    if cut:
+        await anyio.sleep(0.1)
+        await anyio.aclose_forcefully(stream)
+        return b""
+    with anyio.move_on_after(3), contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while b"</Error>" not in got and b"\r\n\r\n" not in got:
+            got += await stream.receive()
+    await anyio.aclose_forcefully(stream)
+    return got
+
+
+def test_bodies_that_do_not_fit_store_nothing(tmp_path):
+    keys = Keys(tmp_path)
+
+    @played
+    async def run():
+        async with rig(with_s3(keys)) as it:
+            data = os.urandom(200_000)
+            for path in ("/school-1/x", "/school-1/y?partNumber=1&uploadId=u0-1"):
+                whole = raw_request(it, keys, "PUT", path, data)
+                assert b"XAmzContentSHA256Mismatch" in await sent(it, whole + data[:-1] + b"?")
+            s3 = boto(it, keys)
+            for wrong in ({"ChecksumCRC32": "AAAAAA=="}, {"ContentMD5": "AAAAAAAAAAAAAAAAAAAAAA=="}):
+                put = partial(s3.put_object, Bucket="school-1", Key="w", Body=data, **wrong)
+                assert (await off(partial(code, put)))[0] == "BadDigest"
+            for store in it.stores:
+                assert not store.shelf.objects and not any(
+                    parts for *_, parts in store.shelf.uploads.values()
+                )
+
+    run()
+
+
+def test_who_is_let_in_and_what_they_may(tmp_path):
+    keys = Keys(tmp_path, [Right("school-*", "7b/", ["read", "list", "write"])])
+
+    def calls(it: Rig) -> None:
+        s3 = boto(it, keys)
+        s3.put_object(Bucket="school-1", Key="7b/ann", Body=b"x")
+        assert s3.list_objects_v2(Bucket="school-1", Prefix="7b/")["KeyCount"] == 1
+        for call in (
+            lambda: s3.put_object(Bucket="school-1", Key="7c/ann", Body=b"x"),
+            lambda: s3.put_object(Bucket="contest-1", Key="7b/ann", Body=b"x"),
+            lambda: s3.list_objects_v2(Bucket="school-1"),
+            lambda: s3.delete_object(Bucket="school-1", Key="7b/ann"),
+            lambda: s3.copy_object(Bucket="school-1", Key="7b/x", CopySource="school-1/7c/ann"),
+            lambda: s3.head_bucket(Bucket="contest-1"),
+        ):
+            assert code(call)[1] == 403
+        gone = s3.delete_objects(Bucket="school-1", Delete={"Objects": [{"Key": "7b/ann"}]})
+        assert gone["Errors"][0]["Code"] == "AccessDenied"
+        url = s3.generate_presigned_url(
+            "get_object", Params={"Bucket": "school-1", "Key": "7b/ann"}, ExpiresIn=60
+        )
+        assert urllib.request.urlopen(url).read() == b"x"
+
+        def status(url: str, method: str = "GET", data: bytes | None = None) -> int:
+            try:
+                return urllib.request.urlopen(urllib.request.Request(url, data, method=method)).status
+            except urllib.error.HTTPError as error:
+                return error.code
+
+        assert status(url, "PUT", b"y") == 403, "signed for another method"
+        assert status(url.replace("7b/ann", "7b/bob")) == 403
+        assert status(url + "&response-content-type=x") == 403
+        assert status(url.replace("Expires=60", "Expires=61")) == 403
+        short = s3.generate_presigned_url(
+            "get_object", Params={"Bucket": "school-1", "Key": "7b/ann"}, ExpiresIn=1
+        )
+        time.sleep(2.1)
+        assert status(short) == 403
+        put = s3.generate_presigned_url(
+            "put_object", Params={"Bucket": "school-1", "Key": "7b/new"}, ExpiresIn=60
+        )
+        assert status(put, "PUT", b"hello") == 200
+        assert status(f"{address(it)}/school-1/7b/new") == 403, "not signed"
+        other = boto3.client(
+            "s3",
+            endpoint_url=address(it),
+            aws_access_key_id="WDNOBODY",
+            aws_secret_access_key="x",
+            region_name="us-east-1",
+        )
+        assert code(lambda: other.get_object(Bucket="school-1", Key="7b/ann")) == ("InvalidAccessKeyId", 403)
+        write(keys.path, [])
+        assert code(lambda: s3.get_object(Bucket="school-1", Key="7b/ann")) == ("InvalidAccessKeyId", 403), (
+            "withdrawn"
+        )
+
+    @played
+    async def run():
+        async with rig(with_s3(keys), unit_ms=0.2) as it:
+            await off(lambda: calls(it))
+
+    run()
+
+
+def test_unsigned_access_is_what_settings_say(tmp_path):
+    def status(url: str, method: str = "GET") -> int:
+        try:
+            return urllib.request.urlopen(urllib.request.Request(url, method=method)).status
+        except urllib.error.HTTPError as error:
+            return error.code
+
+    @played
+    async def run():
+        for word, reads, writes in (("none", 403, 403), ("read", 404, 403), ("all", 404, 200)):
+            async with rig(with_s3(Keys(tmp_path), unsigned=word)) as it:
+                assert await off(lambda: status(address(it) + "/school-1/k")) == reads
+                assert await off(lambda: status(address(it) + "/school-1/k", "PUT")) == writes
+
+    run()
+
+
+def test_a_client_that_leaves_in_a_part_and_between_parts_loses_nothing_else_and_forgotten_uploads_go(
+    tmp_path,
+):
+    keys = Keys(tmp_path)
+    data = os.urandom(5 * MIB)
+    where = {"Bucket": "school-1", "Key": "k"}
+
+    @played
+    async def run():
+        async with rig(with_s3(keys, upload_keep=60_000.0), unit_ms=0.02) as it:
+            s3 = boto(it, keys)
+            upload = (await off(lambda: s3.create_multipart_upload(**where)))["UploadId"]
+            first = await off(lambda: s3.upload_part(**where, UploadId=upload, PartNumber=1, Body=data))
+            head = raw_request(it, keys, "PUT", f"/school-1/k?partNumber=2&uploadId={upload}", data)
+            await sent(it, head + data[: 2 * MIB], cut=True)
+            listed = await off(lambda: s3.list_parts(**where, UploadId=upload))
+            assert [part["PartNumber"] for part in listed["Parts"]] == [1], "half a part is none"
+            assert await it.gateway.s3.forget("school-1") == 0, "it was touched just now"
+            second = await off(lambda: s3.upload_part(**where, UploadId=upload, PartNumber=2, Body=b"end"))
+            parts = [{"PartNumber": 1, "ETag": first["ETag"]}, {"PartNumber": 2, "ETag": second["ETag"]}]
+            await off(
+                lambda: s3.complete_multipart_upload(
+                    **where, UploadId=upload, MultipartUpload={"Parts": parts}
+                )
+            )
+            assert (await off(lambda: s3.get_object(**where)["Body"].read())) == data + b"end"
+            left = (await off(lambda: s3.create_multipart_upload(**where)))["UploadId"]
+            await off(lambda: s3.upload_part(**where, UploadId=left, PartNumber=1, Body=b"x"))
+            wall = it.gateway.s3.wall
+            it.gateway.s3.wall = lambda: wall() + 61
+            assert await it.gateway.s3.forget("school-1") == 1
+            assert not any(store.shelf.uploads for store in it.stores)
+            it.gateway.s3.wall = wall
+            assert (await off(lambda: code(lambda: s3.list_parts(**where, UploadId=left)))) == (
+                "NoSuchUpload",
+                404,
+            )
+
+    run()
+
+
+@pytest.mark.parametrize("trick", ["silence", "reset-after-run", "die-mid-request", "shed"])
+def test_a_store_that_takes_a_part_and_goes_silent_is_asked_again_and_the_part_is_there_once(tmp_path, trick):
+    keys = Keys(tmp_path)
+    where = {"Bucket": "school-1", "Key": "k"}
+
+    @played
+    async def run():
+        config = with_s3(keys)
+        kinds = tuple(
+            dataclasses.replace(kind, rules=dataclasses.replace(kind.rules, aim_ms=300.0, deadline_ms=3000.0))
+            for kind in config.kinds
+        )
+        async with rig(dataclasses.replace(config, kinds=kinds), unit_ms=0.1) as it:
+            s3 = boto(it, keys)
+            upload = (await off(lambda: s3.create_multipart_upload(**where)))["UploadId"]
+            store = it.where("/school-1/k")
+            store.tricks.append(trick)
+            tag = (
+                await off(lambda: s3.upload_part(**where, UploadId=upload, PartNumber=1, Body=b"x" * 100_000))
+            )["ETag"]
+            assert store.shelf.uploads[upload][2] == {1: b"x" * 100_000}
+            store.tricks.append(trick)
+            parts = {"Parts": [{"PartNumber": 1, "ETag": tag}]}
+            done = await off(
+                lambda: s3.complete_multipart_upload(**where, UploadId=upload, MultipartUpload=parts)
+            )
+            got = await off(lambda: s3.get_object(**where))
+            assert got["ETag"] == done["ETag"] and got["ContentLength"] == 100_000
+
+    run()
+
+
+def test_two_gateways_complete_one_upload_and_a_part_that_is_put_anew_meanwhile_is_told(tmp_path):
+    keys = Keys(tmp_path)
+    where = {"Bucket": "school-1", "Key": "k"}
+
+    @played
+    async def run():
+        async with rig(with_s3(keys), unit_ms=1.0) as it:
+            other = Gateway(dataclasses.replace(with_s3(keys), nodes=it.gateway.config.nodes))
+            ready = anyio.Event()
+            it.group.start_soon(other.run, ready.set)
+            await ready.wait()
+            await it.until(lambda: len(other.engine.nodes) == 8)
+            one = boto(it, keys)
+            host, port = other.addresses[-1]
+            two = boto3.client(
+                "s3", endpoint_url=f"http://{host}:{port}", aws_access_key_id=keys.key.id, aws_secret_access_key=keys.secret,
+                region_name="us-east-1",
+            )  # fmt: skip
+            upload = (await off(lambda: one.create_multipart_upload(**where)))["UploadId"]
+            tag = (
+                await off(lambda: two.upload_part(**where, UploadId=upload, PartNumber=1, Body=b"a" * 1000))
+            )["ETag"]
+            named = {"Parts": [{"PartNumber": 1, "ETag": tag}]}
+            answers: list[str] = []
+
+            async def complete(s3: Any) -> None:
+                made = await off(
+                    lambda: s3.complete_multipart_upload(**where, UploadId=upload, MultipartUpload=named)
+                )
+                answers.append(made["ETag"])
+
+            async with anyio.create_task_group() as group:
+                for s3 in (one, two, one, two):
+                    group.start_soon(complete, s3)
+            assert len(answers) == 4 and len(set(answers)) == 1
+            effects = [
+                s
+                for s in it.record.seen
+                if s["what"] == "effect" and "uploadId" in s["query"] and s["method"] == "POST"
+            ]
+            assert effects and (await off(lambda: one.get_object(**where)["Body"].read())) == b"a" * 1000
+            # Put anew between the look at the parts and the completion: the store tells, nothing half is made.
+            upload = (await off(lambda: one.create_multipart_upload(**where)))["UploadId"]
+            tag = (
+                await off(lambda: one.upload_part(**where, UploadId=upload, PartNumber=1, Body=b"b" * 1000))
+            )["ETag"]
+            store = it.where("/school-1/k")
+            apply = store._multipart
+
+            def changed(asked: Any, job: Any) -> None:
+                if asked.method == "POST" and "uploadId" in asked.query:
+                    store.shelf.uploads[upload][2][1] = b"other"
+                apply(asked, job)
+
+            store._multipart = changed
+            named = {"Parts": [{"PartNumber": 1, "ETag": tag}]}
+            call = lambda: one.complete_multipart_upload(**where, UploadId=upload, MultipartUpload=named)  # noqa: E731
+            assert (await off(lambda: code(call)))[0] == "InvalidPart"
+            assert (await off(lambda: one.get_object(**where)["Body"].read())) == b"a" * 1000
+
+    run()
+
+
+def test_a_refusal_is_slow_down_with_a_time_and_boto3_comes_back(tmp_path):
+    keys = Keys(tmp_path)
+
+    @played
+    async def run():
+        text = "\n[plan small]\nusual_rate = 5\nlimit = 8\nlimit_burst = 8\n"
+        config = with_s3(keys)
+        made = settings(text)
+        small = next(plan for plan in made.plans if plan.name == "small")
+        volumes = tuple(
+            dataclasses.replace(rule, plan="small") if rule.pattern == "school-*" else rule
+            for rule in config.volumes
+        )
+        kinds = tuple(
+            dataclasses.replace(kind, rules=dataclasses.replace(kind.rules, deadline_ms=400.0, aim_ms=200.0))
+            for kind in config.kinds
+        )
+        config = dataclasses.replace(config, plans=(*config.plans, small), volumes=volumes, kinds=kinds)
+        async with rig(config, unit_ms=1.0) as it:
+            said: list[bytes] = []
+
+            async def one(number: int) -> None:
+                said.append(await sent(it, raw_request(it, keys, "GET", f"/school-1/k{number}")))
+
+            async with anyio.create_task_group() as group:
+                for number in range(24):
+                    group.start_soon(one, number)
+            slow = [each for each in said if b"SlowDown" in each]
+            assert slow and all(b"503" in each and b"retry-after: " in each.lower() for each in slow)
+            s3 = boto(it, keys)
+            await off(lambda: s3.put_object(Bucket="school-1", Key="k", Body=b"x"))
+            assert await off(lambda: s3.get_object(Bucket="school-1", Key="k")["Body"].read()) == b"x"
+
+    run()
+
+
+def test_documents_that_are_no_xml_or_too_much_of_it_are_told(tmp_path):
+    keys = Keys(tmp_path)
+    bomb = (
+        b'<?xml version="1.0"?><!DOCTYPE x [<!ENTITY a "b">]><Delete><Object><Key>&a;</Key></Object></Delete>'
+    )
+
+    @played
+    async def run():
+        async with rig(with_s3(keys)) as it:
+            for body in (b"no xml", bomb, b"<Other/>", b"<Delete></Delete>", b"<Delete><Object/></Delete>"):
+                assert b"MalformedXML" in await sent(
+                    it, raw_request(it, keys, "POST", "/school-1?delete", body) + body
+                )
+            upload = "/school-1/k?uploadId=u0-1"
+            for body in (
+                b"<CompleteMultipartUpload/>",
+                b"<CompleteMultipartUpload><Part/></CompleteMultipartUpload>",
+            ):
+                assert b"MalformedXML" in await sent(it, raw_request(it, keys, "POST", upload, body) + body)
+
+    run()
+
+
+def test_buckets_in_the_hosts_name(tmp_path):
+    keys = Keys(tmp_path)
+
+    @played
+    async def run():
+        async with rig(with_s3(keys, domain="s3.test", unsigned="all")) as it:
+            put = b"PUT /k HTTP/1.1\r\nhost: school-1.s3.test:99\r\ncontent-length: 1\r\n\r\nx"
+            assert b"200" in await sent(it, put)
+            assert ("school-1", "k") in it.where("/school-1/k").shelf.objects
+
+    run()
--- /dev/null
+++ b/winchdyke/cli/access.py
@@ -0,0 +1,172 @@
+"""``winchdyke access``: keys of S3 clients; ``winchdyke s3``: what is spoken."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+PATH = click.Path(path_type=Path, dir_okay=False)
+FILE = click.argument("file", type=PATH)
+MASTER = click.option(
+    "--master", type=PATH, required=True, help="The file with the master key; see 'access master'."
+)
+T = TypeVar("T")
+
+
+@click.group("access")
+def command() -> None:
+    """Access keys of S3 clients. FILE is a gateway's `s3, keys`; a running gateway goes by it from the next request on."""
+
+
+def _do(call: Callable[..., T], *words: Any) -> T:
+    from winchdyke.auth.keys import KeysError
+
+    try:
+        return call(*words)
+    except KeysError as error:
+        raise click.ClickException(str(error)) from None
+
+
+def _keys(file: Path) -> list[Any]:
+    from winchdyke.auth.keys import read
+
+    return _do(read, file) if file.exists() else []
+
+
+def _right(text: str) -> Any:
+    from winchdyke.auth.keys import ACTIONS, Right
+
+    where, _, actions = text.rpartition(":")
+    volume, _, prefix = where.partition("/")
+    allow = [part.strip() for part in actions.split(",")]
+    if not volume or any(action not in ACTIONS for action in allow):
+        raise click.ClickException(
+            f"--may {text!r} is not VOLUME[/PREFIX]:ACTIONS; actions are {', '.join(ACTIONS)}"
+        )
+    return Right(volume, prefix, allow)
+
+
+@command.command("master")
+@FILE
+def master(file: Path) -> None:
+    """Make a master key in FILE, or put a new one in front of those there; then seal all keys anew with 'access reseal'."""
+    from winchdyke.auth.keys import new_master
+
+    _do(new_master, file)
+    click.echo(f"{file}: a new master key")
+
+
+@command.command("new")
+@FILE
+@MASTER
+@click.option("--who", required=True, help="Whose it is.")
+@click.option(
+    "--may",
+    "rights",
+    multiple=True,
+    required=True,
+    metavar="VOLUME[/PREFIX]:ACTIONS",
+    help="What it may do, as 'school-*:read,list'; several may be given.",
+)
+@click.option(
+    "--for", "span", default=None, metavar="TIME", help="How long it counts; for good where not given."
+)
+def new(file: Path, master: Path, who: str, rights: tuple[str, ...], span: str | None) -> None:
+    """Make a key; its secret is shown once."""
+    from winchdyke.auth.keys import made, write
+    from winchdyke.config import units
+
+    now = time.time() * 1000
+    try:
+        until = now + units.duration(span) if span else 0.0
+    except ValueError as error:
+        raise click.ClickException(f"--for: {error}") from None
+    keys = _keys(file)
+    key, secret = _do(made, who, [_right(text) for text in rights], master, now, until)
+    _do(write, file, [*keys, key])
+    click.echo(f"access key  {key.id}\nsecret key  {secret}")
+
+
+@command.command("withdraw")
+@FILE
+@click.argument("name", metavar="ID")
+@click.option(
+    "--within", default=None, metavar="TIME", help="Let it count so long still: for a change of keys."
+)
+def withdraw(file: Path, name: str, within: str | None) -> None:
+    """Take key ID away."""
+    from winchdyke.auth.keys import write
+    from winchdyke.config import units
+
+    keys = _keys(file)
+    if name not in {key.id for key in keys}:
+        raise click.ClickException(f"{file} has no key {name}; 'winchdyke access list {file}' shows them")
+    try:
+        until = time.time() * 1000 + units.duration(within) if within else 0.0
+    except ValueError as error:
+        raise click.ClickException(f"--within: {error}") from None
+    for key in keys:
+        if key.id == name and until:
+            key.until_ms = min(key.until_ms, until) if key.until_ms else until
+    _do(write, file, [key for key in keys if key.id != name or until])
+    click.echo(f"{name} is withdrawn" + (f" in {within}" if until else ""))
+
+
+@command.command("reseal")
+@FILE
+@MASTER
+def reseal(file: Path, master: Path) -> None:
+    """Seal all secrets with the newest master key."""
+    from winchdyke.auth.keys import resealed, write
+
+    keys = _do(resealed, _keys(file), master)
+    _do(write, file, keys)
+    click.echo(f"{len(keys)} keys are sealed with the newest master key")
+
+
+@command.command("list")
+@FILE
+def show(file: Path) -> None:
+    """The keys, without their secrets."""
+    now = time.time() * 1000
+    for key in _keys(file):
+        until = (
+            datetime.fromtimestamp(key.until_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M:%S")
+            if key.until_ms
+            else "-"
+        )
+        rights = " ".join(
+            f"{r.volume}{'/' + r.prefix if r.prefix else ''}:{','.join(r.allow)}" for r in key.rights
+        )
+        click.echo(
+            f"{key.id:22} {key.who:12} {'counts' if key.good(now) else 'does not count':14} until {until}  {rights}"
+        )
+
+
+@click.group("s3")
+def s3_command() -> None:
+    """The S3 dialect."""
+
+
+@s3_command.command("spoken")
+def spoken() -> None:
+    """What is and isn't spoken, as the table in the docs."""
+    from winchdyke.s3.requests import NOT_SPOKEN, SPOKEN
+
+    click.echo("| operation | as | right | notes |\n| --- | --- | --- | --- |")
+    for each in SPOKEN:
+        where = {"service": "/", "bucket": "/BUCKET", "object": "/BUCKET/KEY"}[each.level]
+        query = "&".join(each.query)
+        header = f", `{each.header.decode()}`" if each.header else ""
+        right = {"own": ""}.get(each.right, each.right)
+        click.echo(
+            f"| {each.name} | `{each.method} {where}{'?' + query if query else ''}`{header} | {right} | {each.notes} |"
+        )
+    click.echo(
+        "\nNot spoken (501 `NotImplemented`): " + ", ".join(f"`{name}`" for name in sorted(NOT_SPOKEN)) + "."
+    )
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-from winchdyke.cli import changes, check, config, day, dev, keys, model, nodes, serve, standin, waits
+from winchdyke.cli import access, changes, check, config, day, dev, keys, model, nodes, serve, standin, waits
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -28,5 +28,7 @@
     changes.volume_command,
     changes.limit_command,
     keys.command,
+    access.command,
+    access.s3_command,
 ):
     main.add_command(command)
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -205,6 +205,8 @@
             accepting: list[anyio.CancelScope] = []
             for listener, handle in listeners:
                 group.start_soon(self._accept, listener, handle, accepting, group)
+            if self.s3 is not None:
+                group.start_soon(self.s3.run)
             if self.live is not None and admins:
                 admin = Admin(self.config.admin, self.live.trail)
                 for listener in admins:
--- a/winchdyke/s3/requests.py
+++ b/winchdyke/s3/requests.py
@@ -35,7 +35,7 @@
 CONDITIONS = (b"if-match", b"if-none-match", b"if-modified-since", b"if-unmodified-since", b"if-range")
 SIGNING = {
     "x-amz-algorithm", "x-amz-credential", "x-amz-date", "x-amz-expires", "x-amz-signedheaders", "x-amz-signature",
-    "x-amz-content-sha256", "x-amz-security-token", "x-id", "x-amz-checksum-mode",
+    "x-amz-content-sha256", "x-amz-security-token", "signature", "expires", "x-id", "x-amz-checksum-mode",
 }  # fmt: skip
 
 
@@ -67,7 +67,7 @@
     Spoken("ListObjects", "GET", "bucket", "list", (), ("prefix", "delimiter", "marker", "max-keys", "encoding-type")),
     Spoken("DeleteObjects", "POST", "bucket", "delete", ("delete",)),
     Spoken("ListParts", "GET", "object", "read", ("uploadId",), ("max-parts", "part-number-marker", "encoding-type")),
-    Spoken("GetObject", "GET", "object", "read", (), tuple(OVERRIDES), notes="one range; no part numbers, no versions"),
+    Spoken("GetObject", "GET", "object", "read", (), (*OVERRIDES, "AWSAccessKeyId"), notes="one range; no part numbers, no versions"),
     Spoken("HeadObject", "HEAD", "object", "read", (), tuple(OVERRIDES)),
     Spoken("UploadPartCopy", "PUT", "object", "write", ("uploadId", "partNumber"), (), b"x-amz-copy-source"),
     Spoken("UploadPart", "PUT", "object", "write", ("uploadId", "partNumber")),
--- a/winchdyke/s3/service.py
+++ b/winchdyke/s3/service.py
@@ -38,6 +38,7 @@
 AT_ONCE = 8  # deletes of one request under way together
 PIPE = 4  # pieces of a copy between its reading and its writing
 ROUNDS = 64  # pages asked of the stores for one page of a listing
+SWEEP_MOST_S = 600.0  # between looks for forgotten uploads
 ALL = [Right("*", "", ["list", "read", "write", "delete"])]
 
 
@@ -88,6 +89,17 @@
         await self._to.finish()
 
 
+class Nobody:
+    """In a client's place, where the gateway asks for itself."""
+
+    on_gone: Callable[[], None] | None = None
+    eof = False
+    status = 0
+
+    def look(self) -> None:
+        """Nobody leaves."""
+
+
 class Pipe:
     """What is read from one store on its way to another."""
 
@@ -131,6 +143,7 @@
         self.service, self.settings, self.wall = service, settings, wall
         self.access = Access(Path(settings.keys), Path(settings.master)) if settings.keys else None
         self._born, self._count = uuid.uuid4().hex[:20], 0
+        self._volumes: set[str] = set()  # that had uploads in parts since this gateway's start
         self._log = structlog.get_logger("s3")
 
     async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
@@ -168,6 +181,32 @@
             connection.on_gone = None
             call.ended()
 
+    async def run(self) -> None:
+        """Look for forgotten uploads until cancelled."""
+        while True:
+            await anyio.sleep(min(SWEEP_MOST_S, self.settings.upload_keep / 1000 / 4))
+            for volume in sorted(self._volumes | {rule.pattern for rule in self.service.config.volumes}):
+                if not set("*?[") & set(volume):
+                    await self.forget(volume)
+
+    async def forget(self, volume: str) -> int:
+        """Abort the uploads of a volume that nobody has touched for too long; how many. Each step is the scheduler's."""
+        self._count += 1
+        request = f"{self._born}{self._count:012x}"
+        head = RequestHead("GET", f"/{volume}?uploads".encode(), [], 0)
+        call = Call(self, Nobody(), head, request)  # type: ignore[arg-type]
+        done = 0
+        try:
+            for upload in multipart.forgotten(
+                await call.uploads(volume), self.wall() * 1000, self.settings.upload_keep
+            ):
+                final = await call._do("abort-upload", volume, upload.key, upload=upload.uploadId)
+                done += final.answer is not None and final.answer.head.status == 204
+                self._log.info("forgotten", volume=volume, key=upload.key, upload=upload.uploadId)
+        except (S3Error, RequestError, ClientLeft) as error:
+            self._log.warning("forgotten", volume=volume, trouble=str(error))  # at the next look
+        return done
+
     async def _refuse(self, call: Call, error: S3Error) -> None:
         connection = call.connection
         call.outcome = (
@@ -232,6 +271,10 @@
     def _let_in(self, asked: Asked) -> None:
         head, now = self.head, self.s3.wall()
         request = sigv4.Signable(head.method, asked.path, asked.raw_query, tuple(head.headers))
+        if "AWSAccessKeyId" in asked.query or (head.get(b"authorization") or "").startswith("AWS "):
+            raise S3Error(
+                "InvalidRequest", "signature version 2 is not spoken: set your client to version 4 (s3v4)"
+            )
         if not sigv4.is_signed(request):
             word = self.s3.settings.unsigned
             if word == "all" or (word == "read" and asked.spoken.right in ("read", "list")):
@@ -687,6 +730,7 @@
     # Uploads in parts
 
     async def _CreateMultipartUpload(self, asked: Asked) -> None:
+        self.s3._volumes.add(asked.bucket)
         final = await self._do("start-upload", asked.bucket, asked.key, passed=requests.kept(self.head))
         self._answered(final, "NoSuchBucket")
         assert final.answer is not None
