--- a/benchmarks/swap.py
+++ b/benchmarks/swap.py
@@ -18,6 +18,7 @@
 from winchdyke import interface as api
 from winchdyke.changes.edit import text_of
 from winchdyke.changes.instant import Going, moved
+from winchdyke.changes.live import SLICE
 from winchdyke.config import Config, defaults, parse
 from winchdyke.config.meaning import diff
 from winchdyke.gateway.engine import Engine
@@ -27,6 +28,9 @@
 def swapped(engine: Engine, old: Config, config: Config) -> float:
     """Milliseconds for which the loop stands in one swap, as the daemon does it; the rest is made beside it."""
     plans, settings = moved(engine.accounts(), Going(old, old), Going(config, config)), config.settings()
+    names = list(plans)
+    for at in range(0, len(names), SLICE):  # between these others run
+        engine.freshen(names[at : at + SLICE])
     began = time.perf_counter()
     engine.accounts(len(engine.accounts()))
     Snapshot(config, 1)
--- a/winchdyke/changes/live.py
+++ b/winchdyke/changes/live.py
@@ -26,6 +26,7 @@
 LOOK_S = 0.1
 NEAR_MS = 300.0  # before an instant, from which on it is waited for
 SAY_S = 10.0  # between words on a trail that can't be written
+SLICE = 100  # accounts at once
 SPARE = 1.25  # times the versions that are kept, from which on the oldest are moved out
 
 
@@ -57,8 +58,10 @@
         accounts: Callable[[], list[str]],
         clock: Callable[[], float],
         dead: Callable[[], set[int]],
+        freshen: Callable[[list[str]], None] = lambda _: None,
         criteria: Criteria | None = None,
     ) -> None:
+        self._freshen = freshen
         self.folder, self._swap, self._accounts = folder, swap, accounts
         self._keep, self._apart = config.changes.keep, config.changes.clocks_apart
         self.trail, self._damage = mend.opened(folder)
@@ -116,7 +119,16 @@
 
     async def _turn(self, after: Going, version: int) -> None:
         names = self._accounts()
-        self._serve(await anyio.to_thread.run_sync(prepared, self._going, after, version, names))
+        swap = await anyio.to_thread.run_sync(prepared, self._going, after, version, names)
+        await self._fresh(swap)
+        self._serve(swap)
+
+    async def _fresh(self, swap: Prepared) -> None:
+        """All that can be done before the instant, a little at a time."""
+        names = list(swap.plans)
+        for at in range(0, len(names), SLICE):
+            self._freshen(names[at : at + SLICE])
+            await anyio.sleep(0)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -236,6 +248,7 @@
         swap = await anyio.to_thread.run_sync(prepared, old, after, step.version, names)
         judged = touched(old.config, config), lowered(old.config, config)
         await self._add(step, "", found)
+        await self._fresh(swap)
         self._ready = None
         since = (
             self._clock()
--- a/winchdyke/changes/swap.py
+++ b/winchdyke/changes/swap.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from winchdyke import interface as api
 from winchdyke.config.meaning import Change, diff
@@ -27,23 +27,38 @@
     ]
 
 
+FRESH_MS = 100.0  # what an account would have filled up by in so long may be left out: never more than it should have
+
+
+def freshen(scheduler: Scheduler, names: Iterable[str], now: float) -> None:
+    """Fill accounts up by the plans they have, a few at a time before :func:`retell`, so that it finds little to do."""
+    for name in names:
+        if (volume := scheduler.volumes.get(name)) is not None:
+            volume.refill(now)
+
+
 def retell(scheduler: Scheduler, settings: api.Settings, plans: Mapping[str, api.Plan], now: float) -> int:
     """Let a scheduler go by new plans from now on, and give accounts their plans (``instant.moved`` finds them); how many."""
     scheduler.cfg = scheduler.budget.cfg = settings
     scheduler.plans = {plan.name: plan for plan in settings.plans}
-    changed = 0
+    changed, volumes, largest = 0, scheduler.volumes, settings.largest_units
     for name, plan in plans.items():
-        volume = scheduler.volumes.get(name)
+        volume = volumes.get(name)
         if volume is None:
             continue
-        volume.refill(now)  # by the old plan up to this instant
+        if now - volume.at > FRESH_MS:
+            volume.refill(now)  # by the old plan up to this instant
+        else:
+            volume.at = now
         if not volume.plan.limit:
             # Guards against a course cut off for as long as it was free: without a limit all that it sent was taken from an
             # account that nothing fills.
             volume.limit = 0.0
         volume.plan, volume.cfg = plan, settings
-        volume.limit = min(volume.limit, plan.limit_burst / volume.gateways)
-        volume.reserve = min(volume.reserve, (plan.reserve + settings.largest_units) * volume.part)
+        if volume.limit > (most := plan.limit_burst / volume.gateways):
+            volume.limit = most
+        if volume.reserve > (most := (plan.reserve + largest) * volume.part):
+            volume.reserve = most
         changed += 1
     return changed
 
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -108,6 +108,7 @@
                 self.engine.accounts,
                 self.engine.clock,
                 self._dead,
+                self.engine.freshen,
             )
             watch, clock = live.watch, self.engine.clock
             self.service.on_end = lambda volume, shard, outcome, took: watch.ended(
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -18,7 +18,7 @@
 
 from winchdyke import interface as api
 from winchdyke.accounts.why import Observer
-from winchdyke.changes.swap import retell
+from winchdyke.changes.swap import freshen, retell
 from winchdyke.policy import Scheduler
 
 Told = api.Send | api.Refuse | api.Fail | api.Cancel
@@ -127,6 +127,11 @@
         scheduler = self._scheduler
         return retell(scheduler, settings, plans, self.clock()) if isinstance(scheduler, Scheduler) else 0
 
+    def freshen(self, names: list[str]) -> None:
+        """Fill accounts up to now."""
+        if isinstance(self._scheduler, Scheduler):
+            freshen(self._scheduler, names, self.clock())
+
     def _see(self) -> None:
         scheduler = self._scheduler
         self.observer = Observer(scheduler) if self.observing and isinstance(scheduler, Scheduler) else None
