TLS on listeners, with certificates read anew in service

Need: students' keys and uploads crossed the network in clear. Change: gateway/tls.py: certificate, key, oldest version and clients' own certificates from settings; files that change are read at the next handshake, open connections go on; one that is over, damaged or not its key's is told and the one before stays; handshakes are bounded in time and number. Measured: boto3 over TLS, stalls, plain text at a secured listener, four changes of certificates in service (3 tests).

--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,207 @@
+"""TLS on the S3 listener: clients that check it, stalls, reloads, certificates that are over, clients' own."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import ipaddress
+import ssl
+import time
+from pathlib import Path
+
+import anyio
+import anyio.streams.tls
+import anyio.to_thread
+import boto3
+import pytest
+from botocore.config import Config as BotoConfig
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+from rig import played, rig
+from test_s3 import Keys, with_s3
+
+from winchdyke.config.model import Tls
+from winchdyke.gateway import tls
+from winchdyke.gateway.tls import Certificates, TlsError, load
+
+DAY = datetime.timedelta(days=1)
+
+
+class Issuer:
+    """A test certificate authority."""
+
+    def __init__(self, folder: Path, name: str = "test issuer") -> None:
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+        self.certificate = self._made(self.name, self.key.public_key(), True)
+        self.path = folder / f"{name.replace(' ', '-')}.pem"
+        self.path.write_bytes(self.certificate.public_bytes(serialization.Encoding.PEM))
+
+    def _made(self, subject, key, authority, start=-DAY, end=30 * DAY):
+        now = datetime.datetime.now(datetime.UTC)
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self.name)
+            .public_key(key)
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now + start)
+            .not_valid_after(now + end)
+            .add_extension(x509.BasicConstraints(ca=authority, path_length=None), critical=True)
+            .add_extension(x509.SubjectKeyIdentifier.from_public_key(key), critical=False)
+            .add_extension(
+                x509.AuthorityKeyIdentifier.from_issuer_public_key(self.key.public_key()), critical=False
+            )
+        )
+        if authority:
+            usage = x509.KeyUsage(False, False, False, False, False, True, True, False, False)
+            builder = builder.add_extension(usage, critical=True)
+        else:
+            names = [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
+            builder = builder.add_extension(x509.SubjectAlternativeName(names), critical=False)
+        return builder.sign(self.key, hashes.SHA256())
+
+    def issue(self, folder: Path, name: str, start=-DAY, end=20 * DAY) -> tuple[Path, Path]:
+        """A certificate and its key."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+        made = self._made(subject, key.public_key(), False, start, end)
+        certificate, private = folder / "server.pem", folder / "server.key"
+        certificate.write_bytes(made.public_bytes(serialization.Encoding.PEM))
+        private.write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+            )
+        )
+        return certificate, private
+
+
+def settings_of(certificate: Path, key: Path, **more: str) -> Tls:
+    return Tls(str(certificate), str(key), **more)
+
+
+def test_boto3_over_tls_a_handshake_that_stalls_and_a_certificate_changed_in_service(tmp_path, monkeypatch):
+    monkeypatch.setattr(tls, "LOOK_S", 0.0)
+    keys, issuer = Keys(tmp_path), Issuer(tmp_path)
+    certificate, key = issuer.issue(tmp_path, "first")
+
+    @played
+    async def run():
+        config = with_s3(keys)
+        limits = dataclasses.replace(config.limits, header_timeout=700.0)
+        async with rig(
+            dataclasses.replace(config, tls=settings_of(certificate, key), limits=limits), unit_ms=0.2
+        ) as it:
+            host, port = it.gateway.addresses[-1]
+
+            def client():
+                return boto3.client(
+                    "s3", endpoint_url=f"https://{host}:{port}", aws_access_key_id=keys.key.id,
+                    aws_secret_access_key=keys.secret, region_name="us-east-1", verify=str(issuer.path),
+                    config=BotoConfig(s3={"addressing_style": "path"}),
+                )  # fmt: skip
+
+            s3 = client()
+            data = b"x" * 300_000
+            await anyio.to_thread.run_sync(lambda: s3.put_object(Bucket="school-1", Key="k", Body=data))
+            got = await anyio.to_thread.run_sync(
+                lambda: s3.get_object(Bucket="school-1", Key="k")["Body"].read()
+            )
+            assert got == data
+
+            async def shown(context: ssl.SSLContext | None = None) -> str:
+                context = context or ssl.create_default_context(cafile=str(issuer.path))
+                async with await anyio.connect_tcp(
+                    host, port, tls=True, ssl_context=context, tls_standard_compatible=False
+                ) as s:
+                    der = s.extra(anyio.streams.tls.TLSAttribute.peer_certificate_binary)
+                    return x509.load_der_x509_certificate(der).subject.rfc4514_string()
+
+            assert await shown() == "CN=first"
+            # One that says nothing is closed, and holds nobody up.
+            stalled = await anyio.connect_tcp(host, port)
+            await stalled.send(b"\x16\x03\x01")
+            assert await shown() == "CN=first"
+            with anyio.fail_after(3), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await stalled.receive()
+            plain = await anyio.connect_tcp(host, port)
+            await plain.send(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            with anyio.fail_after(3), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await plain.receive()
+            # An open connection goes on over a change of certificates; new ones see the new one.
+            context = ssl.create_default_context(cafile=str(issuer.path))
+            kept = await anyio.connect_tcp(
+                host, port, tls=True, ssl_context=context, tls_standard_compatible=False
+            )
+            issuer.issue(tmp_path, "second")
+            assert await shown() == "CN=second"
+            await kept.send(b"GET /school-1/k HTTP/1.1\r\nhost: x\r\n\r\n")
+            assert b"403" in await kept.receive()
+            await kept.aclose()
+            # One that is over, and one that is no certificate, are not taken: the one before stays.
+            issuer.issue(tmp_path, "over", start=-3 * DAY, end=-DAY)
+            assert await shown() == "CN=second"
+            certificate.write_text("no certificate")
+            assert await shown() == "CN=second"
+            issuer.issue(tmp_path, "third")
+            assert await shown() == "CN=third"
+            old = ssl.create_default_context(cafile=str(issuer.path))
+            old.minimum_version = old.maximum_version = ssl.TLSVersion.TLSv1_2
+            assert await shown(old) == "CN=third"
+
+    run()
+
+
+def test_clients_that_must_show_a_certificate_and_the_oldest_version(tmp_path):
+    keys, issuer = Keys(tmp_path), Issuer(tmp_path)
+    certificate, key = issuer.issue(tmp_path, "server")
+    people = Issuer(tmp_path, "people")
+    (tmp_path / "ann").mkdir()
+    own, own_key = people.issue(tmp_path / "ann", "ann")
+
+    @played
+    async def run():
+        asked = settings_of(certificate, key, least="1.3", clients=str(people.path))
+        async with rig(dataclasses.replace(with_s3(keys), tls=asked)) as it:
+            host, port = it.gateway.addresses[-1]
+
+            async def status(context: ssl.SSLContext) -> bytes:
+                async with await anyio.connect_tcp(
+                    host, port, tls=True, ssl_context=context, tls_standard_compatible=False
+                ) as s:
+                    await s.send(b"GET /school-1/k HTTP/1.1\r\nhost: x\r\n\r\n")
+                    return await s.receive()
+
+            with_one = ssl.create_default_context(cafile=str(issuer.path))
+            with_one.load_cert_chain(own, own_key)
+            assert b"403" in await status(with_one)
+            lost = (anyio.EndOfStream, anyio.BrokenResourceError, ssl.SSLError)
+            with pytest.raises(lost):
+                await status(ssl.create_default_context(cafile=str(issuer.path)))
+            with_one.maximum_version = ssl.TLSVersion.TLSv1_2
+            with pytest.raises(lost):
+                await status(with_one)
+
+    run()
+
+
+def test_what_cant_be_used_is_told_at_the_start(tmp_path):
+    issuer = Issuer(tmp_path)
+    certificate, key = issuer.issue(tmp_path, "one")
+    now = time.time()
+    assert Certificates(settings_of(certificate, key)).context()
+    for settings, at, said in [
+        (settings_of(tmp_path / "none", key), now, "can't be read"),
+        (settings_of(key, key), now, "no certificate in PEM"),
+        (settings_of(certificate, tmp_path / "none"), now, "can't be read"),
+        (settings_of(issuer.path, key), now, "is not the key of"),
+        (settings_of(certificate, key), now + 40 * 24 * 3600, "is over since"),
+        (settings_of(certificate, key), now - 40 * 24 * 3600, "counts from"),
+        (settings_of(certificate, key, clients=str(key)), now, "issuers"),
+    ]:
+        with pytest.raises(TlsError, match=said):
+            load(settings, at)
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -509,6 +509,7 @@
         changes=model.Changes(**values["changes", ""]),
         admin=model.Admin(**values["admin", ""]),
         s3=model.S3(**values["s3", ""]),
+        tls=model.Tls(**values["tls", ""]),
         limits=model.Limits(**values["limits", ""]),
         nodes=model.Discovery(
             host,
--- a/winchdyke/config/meaning.py
+++ b/winchdyke/config/meaning.py
@@ -59,6 +59,7 @@
             "listen": config.admin.listen,
             "keys": config.admin.keys,
         },
+        ("tls", ""): {key: getattr(config.tls, key) for key in schema.BLOCKS["tls"].keys},
         ("s3", ""): {key: getattr(config.s3, key) for key in schema.BLOCKS["s3"].keys},
         ("limits", ""): dataclasses.asdict(config.limits),
         ("rules", ""): dataclasses.asdict(config.rules),
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -73,6 +73,17 @@
     keys: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Tls:
+    """Certificates of listeners; none where no certificate is given. ``on``: ``s3`` or ``all`` listeners of clients."""
+
+    certificate: str = ""
+    key: str = ""
+    least: str = "1.2"
+    clients: str = ""
+    on: str = "s3"
+
+
 @dataclass(frozen=True, slots=True)
 class S3:
     """The S3 dialect's listener, its keys, and what is let in without one (``none``, ``read`` or ``all``)."""
@@ -191,6 +202,7 @@
     changes: Changes
     admin: Admin
     s3: S3
+    tls: Tls
     limits: Limits
     nodes: Discovery
     rules: Rules
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -113,6 +113,20 @@
             "keys": Key(t.Type(), '""', "A file of keys, readable by its owner alone; see `winchdyke keys`."),
         },
     ),
+    "tls": Kind(
+        "Certificates of the listeners that clients connect to; read anew when the files change.",
+        {
+            "certificate": Key(
+                t.Type(), '""', "A file in PEM: the certificate, and those that lead to its issuer."
+            ),
+            "key": Key(t.Type(), '""', "Its key, in PEM."),
+            "least": Key(t.OneOf(allowed=("1.2", "1.3")), "1.2", "The oldest version of TLS that is spoken."),
+            "clients": Key(
+                t.Type(), '""', "Issuers of clients' certificates: with them each client must show one."
+            ),
+            "on": Key(t.OneOf(allowed=("s3", "all")), "s3", "Listeners that speak TLS."),
+        },
+    ),
     "s3": Kind(
         "The object API as S3 clients speak it, at a listener of its own.",
         {
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -10,6 +10,7 @@
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
+from anyio.streams.tls import TLSStream
 
 from winchdyke.config.model import Limits
 from winchdyke.gateway.attempts import CHUNK, LOST, ClientLeft
@@ -83,7 +84,7 @@
         try:
             with anyio.move_on_after(LINGER_S):
                 await self._stream.send(ServerSide(1024).unasked(status, headers, body))
-                await self._stream.send_eof()
+                await self._no_more()
                 while True:
                     await self._stream.receive()
         except LOST:
@@ -92,6 +93,11 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    async def _no_more(self) -> None:
+        """Say that nothing more comes; a secured stream can't, and is closed once the client has had time to read."""
+        if not isinstance(self._stream, TLSStream):
+            await self._stream.send_eof()
+
     def hang_up(self) -> None:
         """Close where nothing is under way; else after the answer."""
         self.close_after = True
@@ -138,7 +144,7 @@
         # answered early. It hurts by a second's hold on the connection.
         try:
             with anyio.move_on_after(LINGER_S):
-                await self._stream.send_eof()
+                await self._no_more()
                 while not self.eof:
                     self._ahead = 0
                     self._wanted.set()
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import signal
+import ssl
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -13,6 +14,7 @@
 import anyio.to_thread
 import structlog
 from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
+from anyio.streams.tls import TLSStream
 
 from winchdyke import interface as api
 from winchdyke.accounts.ledger import Bounds, Writer
@@ -22,10 +24,12 @@
 from winchdyke.changes.live import Live, Prepared
 from winchdyke.changes.trail import TrailError
 from winchdyke.config import Config
+from winchdyke.gateway.attempts import LOST
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.gateway.engine import Engine
 from winchdyke.gateway.pool import NO_DESCRIPTORS, Connection, DialError, Pool
 from winchdyke.gateway.service import Service, Snapshot
+from winchdyke.gateway.tls import Certificates, TlsError
 from winchdyke.http1 import End, Need, RequestHead
 from winchdyke.nodes.belief import Bounds as Belief
 from winchdyke.nodes.belief import Word
@@ -74,6 +78,11 @@
         self.addresses: list[tuple[str, int]] = []
         self.admin_addresses: list[object] = []
         self.s3: S3 | None = None
+        self._shaking = 0  # handshakes under way
+        try:
+            self.certificates = Certificates(config.tls) if config.tls.certificate else None
+        except TlsError as error:
+            raise StartError(str(error)) from error
         self._connections: set[ClientConnection] = set()
         self._admins: set[ClientConnection] = set()
         self._stop = anyio.Event()
@@ -326,7 +335,34 @@
                 if none_left.cancelled_caught:
                     return
 
+    async def _shaken(self, stream: SocketStream, certificates: Certificates) -> SocketStream | None:
+        """The stream secured; None where that failed, took too long, or too many do so at once."""
+        secured: TLSStream | None = None
+        if len(self._connections) + self._shaking < self.config.limits.connections:
+            self._shaking += 1
+            try:
+                with anyio.move_on_after(self.config.limits.header_timeout / 1000):
+                    secured = await TLSStream.wrap(
+                        stream,
+                        server_side=True,
+                        ssl_context=certificates.context(),
+                        standard_compatible=False,
+                    )
+            except (*LOST, ssl.SSLError):
+                pass
+            finally:
+                self._shaking -= 1
+        if secured is None:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+        return secured  # type: ignore[return-value]
+
     async def _connection(self, stream: SocketStream, handle: Handle) -> None:
+        if self.certificates is not None and (self.config.tls.on == "all" or handle != self.service.handle):
+            secured = await self._shaken(stream, self.certificates)
+            if secured is None:
+                return
+            stream = secured
         connection = ClientConnection(stream, self.config.limits, self.engine.clock)
         if len(self._connections) >= self.config.limits.connections:
             connection.close_after = True
