Uploads in parts through troubles and killed gateways, judged from clients and stores

Need: nothing showed that uploads survive killed gateways and stores in trouble. The S3 listener's address is written beside the port file.

--- a/tests/test_s3.py
+++ b/tests/test_s3.py
@@ -754,3 +754,12 @@
 
     run()
     assert worst[1] < worst[64] / 2, worst
+
+
+def test_uploads_through_troubles_and_killed_gateways_are_whole_or_gone():
+    """Ten seeds of 100 uploads and 20 kills: benchmarks/uploads.py."""
+    from benchmarks import uploads
+
+    run = uploads.played(3, 16, 3)
+    assert run.wrong == [] and run.counts["kills"] == 3 and run.counts["objects"] >= 8
+    assert run.counts["objects"] + run.counts["given up"] == 16
--- a/winchdyke/days/script.py
+++ b/winchdyke/days/script.py
@@ -338,5 +338,9 @@
         for title, keys in blocks
     ]
     if day.changes:
-        texts.append(f'changes {{\n    folder = "{Path(port_file).parent}/changes-{index}"\n}}\n')
+        texts.append(
+            f'changes {{\n    folder = "{Path(port_file).parent}/changes-{index}"\n'
+            # From its arrival on: the judge holds the lower limit against the stores from then.
+            "    clocks_apart = 4s\n}\n"
+        )
     return "\n".join(texts) + more
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -416,6 +416,12 @@
         transport.pause_reading()
 
 
+def _told(path: Path, address: tuple[str, int]) -> None:
+    beside = path.with_name(path.name + f".{os.getpid()}")
+    beside.write_text(f"{address[0]}:{address[1]}\n")
+    beside.replace(path)
+
+
 async def serve(
     config: Config, started: Callable[[Gateway], Awaitable[None] | None] = lambda _: None
 ) -> None:
@@ -425,9 +431,9 @@
     def ready() -> None:
         if config.gateway.port_file:
             path = Path(config.gateway.port_file)
-            beside = path.with_name(path.name + f".{os.getpid()}")
-            beside.write_text(f"{gateway.address[0]}:{gateway.address[1]}\n")
-            beside.replace(path)
+            if gateway.s3 is not None:  # the S3 listener's beside it
+                _told(path.with_name(path.name + ".s3"), gateway.addresses[-1])
+            _told(path, gateway.address)
         started(gateway)
 
     async with anyio.create_task_group() as group:
