winchdyke load: requests by schedule, latencies that hide no stall, in HDR histograms

Need: no tool put a rate on a gateway; closed loops ask less while a gateway stalls. Change: winchdyke/load: a schedule drawn beforehand and shared by processes, natively or as a signing S3 client, with uploads in parts and ranges; histograms merged over processes; how late the tool itself was.

--- a/winchdyke/auth/sigv4.py
+++ b/winchdyke/auth/sigv4.py
@@ -310,3 +310,22 @@
         made = self._next("TRAILER", hashlib.sha256(text.encode()).hexdigest())
         if not hmac.compare_digest(made.encode(), signature.encode("latin-1", "replace")):
             raise AuthError("SignatureDoesNotMatch", "the trailer's signature does not fit it")
+
+
+def sign(
+    method: str, host: str, path: str, query: str, payload: str, key: str, secret: str, now_s: float,
+    region: str = "us-east-1",
+) -> list[tuple[bytes, bytes]]:  # fmt: skip
+    """The headers that sign a request, as a client puts them; ``payload``: the body's SHA-256, or a word for it."""
+    at = datetime.fromtimestamp(now_s, UTC).strftime("%Y%m%dT%H%M%SZ")
+    signed = ("host", "x-amz-content-sha256", "x-amz-date")
+    claim = Claim(key, at[:8], region, "s3", signed, "", at, payload)
+    headers = [
+        (b"host", host.encode()),
+        (b"x-amz-content-sha256", payload.encode()),
+        (b"x-amz-date", at.encode()),
+    ]
+    text = string_to_sign(Signable(method, path, query, tuple(headers)), claim, False)
+    made = hmac.digest(signing_key(secret, claim.date, region, "s3"), text.encode(), "sha256").hex()
+    told = f"{ALGORITHM} Credential={key}/{claim.scope},SignedHeaders={';'.join(signed)},Signature={made}"
+    return [*headers, (b"authorization", told.encode())]
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -4,7 +4,21 @@
 
 import click
 
-from winchdyke.cli import access, changes, check, config, day, dev, keys, model, nodes, serve, standin, waits
+from winchdyke.cli import (
+    access,
+    changes,
+    check,
+    config,
+    day,
+    dev,
+    keys,
+    load,
+    model,
+    nodes,
+    serve,
+    standin,
+    waits,
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -30,5 +44,6 @@
     keys.command,
     access.command,
     access.s3_command,
+    load.command,
 ):
     main.add_command(command)
--- /dev/null
+++ b/winchdyke/load/report.py
@@ -0,0 +1,102 @@
+"""What a load run saw: histograms by operation and volume (HDR, 3 digits), outcomes, and how far the tool itself was behind. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US, HIGHEST_US, DIGITS = 1, 120_000_000, 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+
+def _histogram() -> Any:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@dataclass
+class Seen:
+    """All that one worker saw, or several together."""
+
+    taken: dict[tuple[str, str], Any] = field(
+        default_factory=dict
+    )  # operation, volume: latency from its time, us
+    outcomes: Counter[tuple[str, str]] = field(default_factory=Counter)  # operation, outcome
+    late: Any = field(default_factory=_histogram)  # how late the tool sent, us
+    bytes: int = 0
+    seconds: float = 0.0
+
+    def add(self, operation: str, volume: str, outcome: str, taken_ms: float) -> None:
+        """One answer, or the lack of one."""
+        self.outcomes[operation, outcome] += 1
+        if outcome == "served":
+            where = operation, volume
+            if where not in self.taken:
+                self.taken[where] = _histogram()
+            self.taken[where].record_value(max(LOWEST_US, min(HIGHEST_US, int(taken_ms * 1000))))
+
+    def packed(self) -> dict[str, Any]:
+        """As plain values, to be sent to another process."""
+        return {
+            "taken": [[*where, each.encode().decode()] for where, each in self.taken.items()],
+            "outcomes": [[*where, count] for where, count in self.outcomes.items()],
+            "late": self.late.encode().decode(), "bytes": self.bytes, "seconds": self.seconds,
+        }  # fmt: skip
+
+    def merge(self, packed: dict[str, Any]) -> None:
+        """Put what another process saw to this."""
+        for operation, volume, text in packed["taken"]:
+            if (operation, volume) not in self.taken:
+                self.taken[operation, volume] = _histogram()
+            self.taken[operation, volume].decode_and_add(text.encode())
+        for operation, outcome, count in packed["outcomes"]:
+            self.outcomes[operation, outcome] += count
+        self.late.decode_and_add(packed["late"].encode())
+        self.bytes += packed["bytes"]
+        self.seconds = max(self.seconds, packed["seconds"])
+
+    def _by_operation(self) -> dict[str, Any]:
+        found: dict[str, Any] = {}
+        for (operation, _), each in self.taken.items():
+            found.setdefault(operation, _histogram()).add(each)
+        return found
+
+    def data(self) -> dict[str, Any]:
+        """All figures, as plain values; latencies in ms."""
+
+        def told(each: Any) -> dict[str, float]:
+            found = {f"p{p:g}": each.get_value_at_percentile(p) / 1000 for p in PERCENTILES}
+            return {"count": float(each.get_total_count()), **found}
+
+        outcomes: dict[str, dict[str, int]] = {}
+        for (operation, outcome), count in sorted(self.outcomes.items()):
+            outcomes.setdefault(operation, {})[outcome] = count
+        return {
+            "seconds": self.seconds, "bytes": self.bytes, "outcomes": outcomes, "sent_late_ms": told(self.late),
+            "latency_ms": {name: told(each) for name, each in sorted(self._by_operation().items())},
+            "by_volume_ms": {f"{op} {volume}": told(each) for (op, volume), each in sorted(self.taken.items())},
+        }  # fmt: skip
+
+    def text(self) -> str:
+        """The same for people."""
+        data = self.data()
+        asked = sum(sum(each.values()) for each in data["outcomes"].values())
+        seconds = max(1e-9, self.seconds)
+        lines = [
+            f"{asked} requests in {seconds:.1f} s ({asked / seconds:.0f}/s), {self.bytes / seconds / 1e6:.1f} MB/s"
+        ]
+        lines.append(f"{'':10}" + "".join(f"{'p' + format(p, 'g'):>10}" for p in PERCENTILES) + "   outcomes")
+        for name, outcomes in data["outcomes"].items():
+            row = data["latency_ms"].get(name)
+            values = "".join(f"{row[f'p{p:g}']:10.1f}" if row else f"{'-':>10}" for p in PERCENTILES)
+            said = ", ".join(f"{outcome} {count}" for outcome, count in outcomes.items())
+            lines.append(f"{name:10}{values}   {said}")
+        late = data["sent_late_ms"]
+        lines.append(
+            f"ms from each request's own time; the tool sent at most {late['p99']:.1f} ms late for 99% of them"
+        )
+        if late["p99"] > 50:
+            lines.append("the tool itself was behind: give it more --processes, or a lower --rate")
+        return "\n".join(lines)
