S3: large parts are paid for in full units, so that they do not escape a course's limit

Need: the scheduler is told at most largest_units for a request; a course with a limit moved many times it in parts of some MiB.

--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -29,7 +29,7 @@
         self.nodes, self.pool, self.limits = nodes, gateway.pool, gateway.config.limits
         self.clock = gateway.engine.clock
         self.bodies = BodyStore(1 << 30, 1 << 18)
-        self.stopping, self.active = False, 0
+        self.stopping, self.active, self.recorder = False, 0, None
 
     async def handle(self, connection: ClientConnection, head: RequestHead) -> None:
         """Send it on, and the answer back."""
--- a/tests/test_s3.py
+++ b/tests/test_s3.py
@@ -30,6 +30,7 @@
 from winchdyke.config.model import S3, Listen
 from winchdyke.gateway.daemon import Gateway
 from winchdyke.s3.lanes import Lanes
+from winchdyke.s3.tolls import Toll
 
 MIB = 1 << 20
 ALL = [Right("*", "", ["list", "read", "write", "delete"])]
@@ -763,3 +764,59 @@
     run = uploads.played(3, 8, 1)
     assert run.wrong == [] and run.counts["kills"] == 1 and run.counts["objects"] >= 4
     assert run.counts["objects"] + run.counts["given up"] == 8
+
+
+@given(
+    st.lists(st.tuples(st.floats(0, 400), st.floats(1, 200)), min_size=1, max_size=60),
+    st.floats(1, 100), st.floats(1, 50),
+)  # fmt: skip
+@examples(max_examples=300)
+def test_over_any_time_a_course_moves_at_most_its_limit_its_burst_and_one_part(asked, rate, most):
+    toll, now = Toll(0.0), 0.0
+    went: list[tuple[float, float]] = []
+    for gap, units in asked:
+        now += gap
+        while (wait := toll.wait_ms(now, rate, most)) > 0:
+            now += wait
+        toll.pay(units)
+        went.append((now, units))
+    for first in range(len(went)):
+        for last in range(first, len(went)):
+            span = (went[last][0] - went[first][0]) / 1000
+            total = sum(units for _, units in went[first : last + 1])
+            assert total <= rate * span + most + max(units for _, units in went) + 1e-6
+
+
+def test_large_parts_do_not_escape_a_courses_limit(tmp_path):
+    """The scheduler is told 8 units at the most for each: twelve parts of 64 units would be 96, not 768."""
+    keys = Keys(tmp_path)
+
+    @played
+    async def run():
+        made = settings("\n[plan small]\nusual_rate = 5\nlimit = 400\nlimit_burst = 100\n")
+        small = next(plan for plan in made.plans if plan.name == "small")
+        config = with_s3(keys, part_least=1)
+        volumes = tuple(
+            dataclasses.replace(rule, plan="small") if rule.pattern == "school-*" else rule
+            for rule in config.volumes
+        )
+        config = dataclasses.replace(config, plans=(*config.plans, small), volumes=volumes)
+        async with rig(config, unit_ms=0.02) as it:
+            s3 = boto(it, keys, max_pool_connections=20)
+            where = {"Bucket": "school-1", "Key": "big"}
+            upload = (await off(lambda: s3.create_multipart_upload(**where)))["UploadId"]
+            unit = it.gateway.config.kind_for("put-part", None).unit_bytes
+            data = b"x" * (64 * unit)
+            began = time.perf_counter()
+
+            async def part(number: int) -> None:
+                await off(lambda: s3.upload_part(**where, UploadId=upload, PartNumber=number, Body=data))
+
+            async with anyio.create_task_group() as group:
+                for number in range(1, 13):
+                    group.start_soon(part, number)
+            took = time.perf_counter() - began
+            assert took > (12 * 64 - 100 - 64) / 400 * 0.9, "a burst and one part ahead of the limit"
+            assert len(it.where("/school-1/big").shelf.uploads[upload][2]) == 12
+
+    run()
