Fuzzing of what strangers send to the S3 listener before they are let in

Need: signatures, queries, chunks and documents are read before anybody is known. Change: fuzz/signatures.py with a corpus of its own, a seeded stretch with the tests: any exception but one with words is a fault, and so is a request that is let in without the key.

--- /dev/null
+++ b/fuzz/signatures.py
@@ -0,0 +1,95 @@
+"""Fuzzing what strangers send to the S3 listener before they are let in: signatures, queries, bodies in chunks, documents.
+
+python fuzz/signatures.py CORPUS_FOLDER [libFuzzer options]
+
+Whatever comes, it is answered with words or read: any other exception is a fault, and so is a request that is let in without the key.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import atheris
+
+with atheris.instrument_imports(include=["winchdyke.auth", "winchdyke.s3", "winchdyke.objects"]):
+    from winchdyke.auth.sigv4 import AuthError, Signable, canonical_path, canonical_query, is_signed, verify
+    from winchdyke.http1 import RequestHead
+    from winchdyke.s3 import requests, xml
+    from winchdyke.s3.body import Body, Wanted
+    from winchdyke.s3.errors import S3Error
+
+NOW = 1_369_353_600.0
+METHODS = ("GET", "PUT", "POST", "DELETE", "HEAD")
+NAMES = (
+    b"authorization", b"host", b"x-amz-date", b"x-amz-content-sha256", b"range", b"x-amz-copy-source", b"content-md5",
+    b"x-amz-meta-a", b"x-amz-trailer", b"if-match",
+)  # fmt: skip
+
+
+def _line(data: bytes) -> str:
+    """As the parser lets it through: visible ASCII."""
+    return "".join(chr(33 + byte % 94) for byte in data)
+
+
+def one(data: bytes) -> None:
+    """One input: its first byte says what it is."""
+    if not data:
+        return
+    kind, rest = data[0] % 4, data[1:]
+    if kind == 0:
+        lines = rest.split(b"\n")
+        path, _, query = _line(lines[0]).partition("?")
+        headers = tuple(
+            (NAMES[line[0] % len(NAMES)], line[1:].replace(b"\r", b"")) for line in lines[1:8] if line
+        )
+        request = Signable(METHODS[len(rest) % 5], "/" + path.lstrip("/"), query, headers)
+        is_signed(request)
+        canonical_path(request.path), canonical_query(request.query)
+        try:
+            verify(request, lambda _: "secret that no input knows", NOW)
+        except AuthError as error:
+            assert error.text and 400 <= error.status < 500
+        else:
+            raise AssertionError("let in without the key")
+    elif kind == 1:
+        lines = rest.split(b"\n")
+        headers_list = [(NAMES[line[0] % len(NAMES)], line[1:]) for line in lines[1:8] if line]
+        head = RequestHead(METHODS[len(rest) % 5], ("/" + _line(lines[0])).encode(), headers_list, 0)
+        try:
+            asked = requests.read(head, "s3.test")
+            requests.kept(head)
+            requests.copy_source(head)
+            asked.number("partNumber", 10_000, 1)
+        except S3Error as error:
+            assert error.text and 400 <= error.status < 600
+    elif kind == 2:
+        body = Body(
+            Wanted(
+                "STREAMING-UNSIGNED-PAYLOAD-TRAILER", None, len(rest) // 2, sums={"crc32": None}, packed=True
+            )
+        )
+        out = 0
+        try:
+            for at in range(0, len(rest), 7):
+                out += len(body.feed(rest[at : at + 7]))
+            out += len(body.finish())
+        except S3Error as error:
+            assert error.text and out <= len(rest)
+        else:
+            assert out == len(rest) // 2
+    else:
+        for read in (xml.completion, xml.deletion):
+            try:
+                read(rest)
+            except S3Error as error:
+                assert error.text
+
+
+def main() -> None:
+    """Fuzz until told otherwise."""
+    atheris.Setup(sys.argv, one)
+    atheris.Fuzz()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -38,3 +38,22 @@
     )
     assert done.returncode == 0, done.stderr[-2000:]
     assert "Done 3000 runs" in done.stderr
+
+
+def test_a_short_seeded_stretch_of_what_strangers_send_to_s3(tmp_path):
+    command = [
+        sys.executable,
+        "fuzz/signatures.py",
+        str(tmp_path),
+        "fuzz/signatures",
+        "-seed=1",
+        "-runs=5000",
+    ]
+    done = subprocess.run(
+        [*command, "-max_len=2048", "-timeout=10", f"-artifact_prefix={tmp_path}/"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 0, done.stderr[-2000:]
+    assert "Done 5000 runs" in done.stderr
