TLS to stores, whose certificates must be for their addresses

Need: what crossed the network between gateway and stores was in clear. Change: tls, stores: issuers of stores' certificates; with them stores are dialled over TLS alone, and one that can't show that it is the address that was dialled is sent nothing. The stand-in store speaks TLS. Measured: reads and writes of 300 kB over kept connections; a store with another issuer's certificate is sent nothing (a test).

--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -205,3 +205,32 @@
     ]:
         with pytest.raises(TlsError, match=said):
             load(settings, at)
+
+
+def test_stores_over_tls_and_one_whose_certificate_is_anothers(tmp_path):
+    keys, issuer = Keys(tmp_path), Issuer(tmp_path)
+    certificate, key = issuer.issue(tmp_path, "store")
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(certificate, key)
+    data = b"x" * 300_000
+
+    @played
+    async def run():
+        config = dataclasses.replace(with_s3(keys), tls=Tls(stores=str(issuer.path)))
+        async with rig(config, unit_ms=0.2, secure=context) as it:
+            for _ in range(3):
+                assert (await it.ask("PUT", "/school-1/k", data)).status in (200, 201)
+                assert (await it.ask("GET", "/school-1/k")).body == data
+            assert it.gateway.pool.reused >= 4, "a kept connection is used again"
+        others = Issuer(tmp_path, "others")
+        config = dataclasses.replace(config, tls=Tls(stores=str(others.path)))
+        async with rig(config, unit_ms=0.2, secure=context) as it:
+            answer = await it.ask("GET", "/school-1/k", winchdyke_time_left="500ms")
+            assert answer.status == 503 and it.record.seen, (
+                "no store that can't show who it is is sent anything"
+            )
+            assert not [seen for seen in it.record.seen if seen["what"] == "head"]
+
+    run()
+    with pytest.raises(TlsError, match="stores' issuers"):
+        tls.load_stores(str(key))
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -82,6 +82,7 @@
     least: str = "1.2"
     clients: str = ""
     on: str = "s3"
+    stores: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -125,6 +125,11 @@
                 t.Type(), '""', "Issuers of clients' certificates: with them each client must show one."
             ),
             "on": Key(t.OneOf(allowed=("s3", "all")), "s3", "Listeners that speak TLS."),
+            "stores": Key(
+                t.Type(),
+                '""',
+                "Issuers of stores' certificates: with them stores are spoken to over TLS alone.",
+            ),
         },
     ),
     "s3": Kind(
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -29,7 +29,7 @@
 from winchdyke.gateway.engine import Engine
 from winchdyke.gateway.pool import NO_DESCRIPTORS, Connection, DialError, Pool
 from winchdyke.gateway.service import Service, Snapshot
-from winchdyke.gateway.tls import Certificates, TlsError
+from winchdyke.gateway.tls import Certificates, TlsError, load_stores
 from winchdyke.http1 import End, Need, RequestHead
 from winchdyke.nodes.belief import Bounds as Belief
 from winchdyke.nodes.belief import Word
@@ -81,6 +81,9 @@
         self._shaking = 0  # handshakes under way
         try:
             self.certificates = Certificates(config.tls) if config.tls.certificate else None
+            if config.tls.stores:
+                secured = load_stores(config.tls.stores)
+                self.pool.secure = lambda: secured
         except TlsError as error:
             raise StartError(str(error)) from error
         self._connections: set[ClientConnection] = set()
--- a/winchdyke/gateway/pool.py
+++ b/winchdyke/gateway/pool.py
@@ -4,6 +4,7 @@
 
 import errno
 import select
+import ssl
 from collections import defaultdict, deque
 from collections.abc import Awaitable, Callable
 
@@ -76,6 +77,9 @@
         self._idle: defaultdict[str, deque[Connection]] = defaultdict(deque)
         self._open: defaultdict[str, set[Connection]] = defaultdict(set)
         self.greet: Callable[[Connection], Awaitable[None]] | None = None
+        self.secure: Callable[[], ssl.SSLContext] | None = (
+            None  # TLS to stores, whose certificates are for their addresses
+        )
         self.dialled = self.reused = 0
 
     def __str__(self) -> str:
@@ -94,7 +98,7 @@
         host, _, port = node.rpartition(":")
         try:
             with anyio.fail_after(self.connect_ms / 1000):
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await self._dial(host, int(port))
         except (OSError, ValueError, ExceptionGroup) as error:
             own = bool(_errnos(error).intersection(NO_DESCRIPTORS))
             raise DialError(f"{node}: {error}", own) from error
@@ -109,6 +113,14 @@
         connection.on_close = self._closed
         return connection
 
+    async def _dial(self, host: str, port: int) -> SocketStream:
+        if self.secure is None:
+            return await anyio.connect_tcp(host, port)
+        made = await anyio.connect_tcp(
+            host, port, tls=True, ssl_context=self.secure(), tls_standard_compatible=False
+        )
+        return made  # type: ignore[return-value]
+
     def _closed(self, connection: Connection) -> None:
         self._open[connection.node].discard(connection)
 
--- a/winchdyke/gateway/tls.py
+++ b/winchdyke/gateway/tls.py
@@ -67,6 +67,17 @@
     return context
 
 
+def load_stores(path: str) -> ssl.SSLContext:
+    """A context for dialling stores: their certificates must be of these issuers, for the address that is dialled. TlsError."""
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    try:
+        context.load_verify_locations(path)
+    except (ssl.SSLError, OSError) as error:
+        raise TlsError(f"{path} holds no certificates of stores' issuers; see tls, stores") from error
+    return context
+
+
 class Certificates:
     """The context that counts, by the files as they are."""
 
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import random
+import ssl
 import time
 import uuid
 from collections import defaultdict, deque
@@ -20,6 +21,7 @@
 import anyio
 import h11
 from anyio.abc import SocketStream, TaskGroup
+from anyio.streams.tls import TLSStream
 
 from winchdyke.standins.record import Record, clock
 from winchdyke.standins.wire import Peer, accept_all, listen, port_of
@@ -60,6 +62,7 @@
     cold_units: float = 9.0
     meter_ms: float = 500.0
     usual_rate: float = 40.0
+    secure: ssl.SSLContext | None = None  # spoken to over TLS alone
 
     @property
     def power(self) -> float:
@@ -239,6 +242,11 @@
         return self.fallen
 
     async def _serve(self, stream: SocketStream) -> None:
+        if self.spec.secure is not None:
+            wrapped = await TLSStream.wrap(
+                stream, server_side=True, ssl_context=self.spec.secure, standard_compatible=False
+            )
+            stream = wrapped  # type: ignore[assignment]
         peer = Peer(stream, h11.SERVER)
         served = 0
         if self.tricks and self.tricks[0] == "die-on-accept":
