blame tells who took a value back

Need: after an undo, blame still named who had changed the value that is no longer there. Change: an undo is told for what the version left and the one gone back to had changed. Measured: a test.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -535,6 +535,13 @@
     blamed = said("blame", folder)
     assert "bob" in blamed and "ann" not in blamed and "eve" not in blamed, "what was not applied is nobody's"
     assert said("blame", folder, "plan.basic") == ""
+    undone = Trail(tmp_path / "a2")
+    for number, what in enumerate(["plan.school.weight", "plan.basic.limit"], 1):
+        undone.propose("text", number - 1, f'[{{"path": "{what}"}}]', "ann", "why", "here")
+        undone.add_all([(Step(step, number), "") for step in ("staged", "applying", "applied")], "gateway")
+    undone.add_all([(Step("undoing", 1), "too much"), (Step("undone", 1), "")], "bob")
+    blamed = {path: entry.who for path, entry in undone.blame().items()}
+    assert blamed["plan.basic.limit"] == "bob", "who took it back"
     text = said("export", folder)
     file = tmp_path / "export"
     file.write_text(text)
--- a/winchdyke/changes/trail.py
+++ b/winchdyke/changes/trail.py
@@ -263,15 +263,21 @@
         entries = self.entries()
         proposed = {entry.version: entry for entry in entries if entry.what == "proposed"}
         found: dict[str, Entry] = {}
+        serving = 0
         for entry in entries:
-            if entry.what in ("applied", "undone") and entry.version in proposed:
-                asked = proposed[entry.version] if entry.what == "applied" else entry
+            if entry.what not in ("applied", "undone"):
+                continue
+            # An undo changes what either version changed: the one that is left, or the one that is gone back to.
+            changed = (entry.version,) if entry.what == "applied" else (serving, entry.version)
+            asked = proposed.get(entry.version, entry) if entry.what == "applied" else entry
+            for version in changed if serving != entry.version else ():
                 try:
-                    difference = self.version(entry.version).difference
+                    difference = self.version(version).difference
                 except TrailError:
                     continue  # in the archives
                 for change in json.loads(difference):
                     found[change["path"]] = asked
+            serving = entry.version
         return found
 
     def export(self) -> Iterator[str]:
