--- a/tests/test_s3.py
+++ b/tests/test_s3.py
@@ -11,6 +11,7 @@
 import urllib.request
 from collections.abc import Callable
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -21,12 +22,14 @@
 import pytest
 from boto3.s3.transfer import TransferConfig
 from botocore.config import Config as BotoConfig
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
 from rig import Rig, played, rig, settings
 
 from winchdyke.auth.keys import Right, made, new_master, write
+from winchdyke.cli.main import main
 from winchdyke.config.model import S3, Listen
 from winchdyke.gateway.daemon import Gateway
 from winchdyke.s3.lanes import Lanes
@@ -820,3 +823,9 @@
             assert len(it.where("/school-1/big").shelf.uploads[upload][2]) == 12
 
     run()
+
+
+def test_the_page_has_the_table_of_what_is_spoken():
+    told = CliRunner().invoke(main, ["s3", "spoken"]).output
+    page = (Path(__file__).parent.parent / "docs/s3.md").read_text()
+    assert told in page, "docs/s3.md is behind: winchdyke s3 spoken"
