--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -15,6 +15,7 @@
 from test_s3 import Keys, address, with_s3
 
 from winchdyke.cli.main import main
+from winchdyke.load.beside import beside, text
 from winchdyke.load.report import Seen
 from winchdyke.load.run import Asked, Worker
 from winchdyke.load.schedule import Mix, wishes
@@ -100,7 +101,15 @@
             asked = Asked(
                 address(it), 40.0, 1500.0, mix, ["school-1", "contest-1"], 5, 20_000, 2, True, access, 10.0
             )
-            seen = await Worker(asked, 0, 1).run()
+            worker = Worker(asked, 0, 1)
+            worker.log = []
+            seen = await worker.run()
+            rows = beside(worker.log, it.record.seen)
+            assert rows["put"].attempts == len(rows["put"].waited) and rows["upload"].attempts >= 5 * len(
+                rows["upload"].waited
+            )
+            assert all(0 < row.told()["store share"] < 1 for row in rows.values() if row.waited)
+            assert "store p99" in text(rows)
             outcomes = seen.data()["outcomes"]
             assert set(outcomes) == {"get", "range", "put", "upload", "list"}
             assert all(set(each) == {"served"} for each in outcomes.values()), outcomes
--- a/winchdyke/cli/load.py
+++ b/winchdyke/cli/load.py
@@ -11,12 +11,13 @@
 import click
 
 
-def _work(words: tuple[Any, ...], number: int, workers: int, out: Any) -> None:
+def _work(words: tuple[Any, ...], number: int, workers: int, out: Any, logged: bool) -> None:
     from winchdyke.load.run import Asked, Worker
 
     worker = Worker(Asked(*words), number, workers)
+    worker.log = [] if logged else None
     anyio.run(worker.run)
-    out.send(worker.seen.packed())
+    out.send((worker.seen.packed(), worker.log or []))
 
 
 @click.command("load")
@@ -64,10 +65,15 @@
     type=click.Path(path_type=Path, dir_okay=False),
     help="An owner-only file with its secret.",
 )
+@click.option(
+    "--log",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="A line of JSON for each request; see 'standin beside'.",
+)
 @click.option("--json", "as_json", is_flag=True, help="All figures as JSON.")
 def command(
     url: str, rate: float, span: str, mix: str, volumes: str, objects: int, size: str, processes: int, seed: int,
-    patience: str, s3: bool, access: str, secret: Path | None, as_json: bool,
+    patience: str, s3: bool, access: str, secret: Path | None, log: Path | None, as_json: bool,
 ) -> None:  # fmt: skip
     """Send requests to URL at times drawn beforehand (open loop), and tell what came back.
 
@@ -93,19 +99,23 @@
     words = (
         url, rate, asked[1], asked[0], volumes.split(","), objects, asked[2], seed, s3, (access, word), asked[3] / 1000,
     )  # fmt: skip
-    seen = Seen()
+    seen, logged = Seen(), []
     context = multiprocessing.get_context("spawn")
     running = []
     for number in range(processes):
         mine, theirs = context.Pipe(False)
-        process = context.Process(target=_work, args=(words, number, processes, theirs))
+        process = context.Process(target=_work, args=(words, number, processes, theirs, log is not None))
         process.start()
         theirs.close()
         running.append((process, mine))
     for process, mine in running:
         try:
-            seen.merge(mine.recv())
+            packed, lines = mine.recv()
+            seen.merge(packed)
+            logged += lines
         except EOFError:
             click.echo("a worker ended without a word; its requests are not counted", err=True)
         process.join()
+    if log is not None:
+        log.write_text("".join(json.dumps(line) + "\n" for line in logged))
     click.echo(json.dumps(seen.data()) if as_json else seen.text())
--- a/winchdyke/cli/standin.py
+++ b/winchdyke/cli/standin.py
@@ -155,3 +155,22 @@
     finally:
         if out is not None:
             record.save(out)
+
+
+@command.command("beside")
+@click.argument("log", type=FILE)
+@click.argument("records", type=FILE, nargs=-1, required=True, metavar="RECORD...")
+def beside_clients(log: Path, records: tuple[Path, ...]) -> None:
+    """How much of what clients waited was stores': LOG of 'load --log' beside RECORDs of stores."""
+    import json
+
+    from winchdyke.load import beside
+
+    def lines(path: Path) -> list[dict[str, object]]:
+        try:
+            return [json.loads(line) for line in path.read_text(encoding="utf-8").splitlines()]
+        except (OSError, ValueError) as error:
+            raise click.ClickException(f"{path} can't be read as lines of JSON: {error}") from None
+
+    seen = [line for path in records for line in lines(path)]
+    click.echo(beside.text(beside.beside(lines(log), seen)))
--- a/winchdyke/load/run.py
+++ b/winchdyke/load/run.py
@@ -91,6 +91,8 @@
         self.host, self.port = parts.hostname or "", parts.port or 80
         self.seen = Seen()
         self._idle: list[_Connection] = []
+        self.log: list[dict[str, object]] | None = None  # a line for each request, where it is wanted
+        self._count = 0
         self._body = hashlib.shake_256(str(asked.seed).encode()).digest(max(asked.size, 1))
         self._part = self._body[:1] * PART_BYTES
 
@@ -116,33 +118,48 @@
     async def _one(self, wish: Wish, due: float, places: anyio.Semaphore) -> None:
         self.seen.late.record_value(max(1, int((time.perf_counter() - due) * 1e6)))
         outcome = "no answer in time"
+        self._count += 1
+        name = f"load-{self.asked.seed}-{self.number}-{self._count}"
         try:
             with anyio.move_on_after(self.asked.patience_s):
-                outcome = await self._do(wish)
+                outcome = await self._do(wish, name)
         except LOST:
             outcome = "cut"
         finally:
             places.release()
-        self.seen.add(wish.operation, wish.volume, outcome, (time.perf_counter() - due) * 1000)
-
-    async def _do(self, wish: Wish) -> str:
+        ms = (time.perf_counter() - due) * 1000
+        self.seen.add(wish.operation, wish.volume, outcome, ms)
+        if self.log is not None:
+            line = {
+                "id": name,
+                "operation": wish.operation,
+                "volume": wish.volume,
+                "outcome": outcome,
+                "ms": round(ms, 3),
+            }
+            self.log.append(line)
+
+    async def _do(self, wish: Wish, name: str) -> str:
+        mine = [(b"x-request-id", name.encode())]
         path = f"/{wish.volume}/{wish.key}"
         if wish.operation == "list":
             query = "list-type=2&max-keys=100" if self.asked.s3 else "limit=100"
-            return self._outcome(*(await self._ask("GET", f"/{wish.volume}", query))[:2])
+            return self._outcome(*(await self._ask("GET", f"/{wish.volume}", query, b"", mine))[:2])
         if wish.operation == "put":
-            return self._outcome(*(await self._ask("PUT", path, "", self._body))[:2])
+            return self._outcome(*(await self._ask("PUT", path, "", self._body, mine))[:2])
         if wish.operation == "upload":
-            return await self._upload(path)
+            return await self._upload(path, mine)
         more = (
             [(b"range", f"bytes={wish.first}-{wish.first + wish.size // 4}".encode())]
             if wish.operation == "range"
             else []
         )
-        return self._outcome(*(await self._ask("GET", path, "", b"", more))[:2])
+        return self._outcome(*(await self._ask("GET", path, "", b"", [*more, *mine]))[:2])
 
-    async def _upload(self, path: str) -> str:
-        status, headers, body = await self._ask("POST", path, "uploads=" if self.asked.s3 else "uploads")
+    async def _upload(self, path: str, mine: list[tuple[bytes, bytes]]) -> str:
+        status, headers, body = await self._ask(
+            "POST", path, "uploads=" if self.asked.s3 else "uploads", b"", mine
+        )
         found = re.search(rb'<UploadId>([^<]+)<|"uploadId": ?"([^"]+)"', body)
         if status != 200 or not found:
             return self._outcome(status, headers)
@@ -150,9 +167,9 @@
         named = []
         for number in range(1, PARTS + 1):
             query = f"partNumber={number}&uploadId={upload}"
-            status, headers, _ = await self._ask("PUT", path, query, self._part)
+            status, headers, _ = await self._ask("PUT", path, query, self._part, mine)
             if status != 200:
-                await self._ask("DELETE", path, f"uploadId={upload}")
+                await self._ask("DELETE", path, f"uploadId={upload}", b"", mine)
                 return self._outcome(status, headers)
             named.append(
                 f"<Part><PartNumber>{number}</PartNumber><ETag>{headers.get('etag', '')}</ETag></Part>"
@@ -162,7 +179,7 @@
             if self.asked.s3
             else b""
         )
-        status, headers, _ = await self._ask("POST", path, f"uploadId={upload}", document)
+        status, headers, _ = await self._ask("POST", path, f"uploadId={upload}", document, mine)
         return self._outcome(status, headers)
 
     @staticmethod
--- a/winchdyke/objects/routes.py
+++ b/winchdyke/objects/routes.py
@@ -129,6 +129,12 @@
     return dict(pairs)
 
 
+def client_request(head: RequestHead) -> str:
+    """The client's own id of a request; empty where it gives none that can be passed on."""
+    given = head.get(b"x-request-id") or ""
+    return given if _VISIBLE.fullmatch(given) else ""
+
+
 def is_upload(text: str) -> bool:
     """Whether this may be an upload's id."""
     return bool(_UPLOAD.fullmatch(text))
@@ -218,7 +224,7 @@
         idempotency_key=idempotency,
         class_name=head.get(b"winchdyke-class"),
         time_left_ms=_time_left(head.get(b"winchdyke-time-left")),
-        client_request=given if _VISIBLE.fullmatch(given := head.get(b"x-request-id") or "") else "",
+        client_request=client_request(head),
     )
 
 
--- a/winchdyke/s3/service.py
+++ b/winchdyke/s3/service.py
@@ -344,7 +344,8 @@
         request = self.request if self._steps == 1 else f"{self.request}.{self._steps}"
         now = self.service.clock()
         left = None if self.end == float("inf") else max(1.0, self.end - now)
-        operation = routes.Operation(name, volume, key, time_left_ms=left, **more)  # type: ignore[arg-type]
+        client = routes.client_request(self.head)
+        operation = routes.Operation(name, volume, key, time_left_ms=left, client_request=client, **more)  # type: ignore[arg-type]
         length = source.length if source is not None else 0
         head = RequestHead(operation.store_method, operation.target(), self.head.headers, length)
         record = Record(version=self.snapshot.version)
