Trailing checksums on sockets, and two uploads of one key

Need: a wrong trailer was tested on the decoder alone. Measured: wrong and missing trailers store nothing, a right one does; two uploads of one key do not mix (2 tests).

--- a/tests/test_s3.py
+++ b/tests/test_s3.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import dataclasses
 import io
@@ -9,6 +10,7 @@
 import time
 import urllib.error
 import urllib.request
+import zlib
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -940,3 +942,57 @@
     assert multipart.fits(parts, kept) == 10_000 * 5 * MIB
     with pytest.raises(Exception, match="was not put"):
         multipart.fits([*parts, xml.Part(10_001, "x")], kept)
+
+
+def test_a_trailing_checksum_that_is_wrong_or_missing_stores_nothing_and_a_right_one_does(tmp_path):
+    keys, data = Keys(tmp_path), os.urandom(200_000)
+    right = base64.b64encode(zlib.crc32(data).to_bytes(4, "big"))
+
+    @played
+    async def run():
+        async with rig(with_s3(keys, unsigned="all")) as it:
+            for name, trailer, said in (
+                ("wrong", b"x-amz-checksum-crc32:AAAAAA==\r\n", b"BadDigest"),
+                ("none", b"", b"BadDigest"),
+                ("right", b"x-amz-checksum-crc32:" + right + b"\r\n", b"200 OK"),
+            ):
+                body = b"%x\r\n%s\r\n0\r\n%s\r\n" % (len(data), data, trailer)
+                head = (
+                    f"PUT /school-1/{name} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n"
+                    "x-amz-content-sha256: STREAMING-UNSIGNED-PAYLOAD-TRAILER\r\ncontent-encoding: aws-chunked\r\n"
+                    f"x-amz-decoded-content-length: {len(data)}\r\nx-amz-trailer: x-amz-checksum-crc32\r\n\r\n"
+                )
+                assert said in await sent(it, head.encode() + body), name
+            kept = [key for store in it.stores for _, key in store.shelf.objects]
+            assert kept == ["right"]
+            assert it.where("/school-1/right").shelf.objects["school-1", "right"][0] == data
+
+    run()
+
+
+def test_two_uploads_of_one_key_do_not_mix(tmp_path):
+    keys = Keys(tmp_path)
+    where = {"Bucket": "school-1", "Key": "k"}
+
+    @played
+    async def run():
+        async with rig(with_s3(keys, part_least=1), unit_ms=0.1) as it:
+            s3 = boto(it, keys)
+
+            def calls() -> None:
+                ids = [s3.create_multipart_upload(**where)["UploadId"] for _ in range(2)]
+                tags: list[list[dict[str, Any]]] = [[], []]
+                for number in (1, 2):
+                    for at in (0, 1):
+                        body = bytes([65 + at]) * 1000
+                        tag = s3.upload_part(**where, UploadId=ids[at], PartNumber=number, Body=body)["ETag"]
+                        tags[at].append({"PartNumber": number, "ETag": tag})
+                for at in (1, 0):
+                    s3.complete_multipart_upload(
+                        **where, UploadId=ids[at], MultipartUpload={"Parts": tags[at]}
+                    )
+                    assert s3.get_object(**where)["Body"].read() == bytes([65 + at]) * 2000
+
+            await off(calls)
+
+    run()
