--- a/winchdyke/benchlink.py
+++ b/winchdyke/benchlink.py
@@ -9,17 +9,12 @@
 import json
 import sys
 from collections.abc import Callable, Iterator
-from typing import Any, TextIO
+from typing import TextIO
 
 from winchdyke import interface as api
 from winchdyke.policy import Scheduler
+from winchdyke.settings import settings_of, word
 
-EFFECTS = {
-    "idempotent": api.Effect.IDEMPOTENT,
-    "deduplicated": api.Effect.KEYED,
-    "at_most_once": api.Effect.AT_MOST_ONCE,
-}
-SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
 STATES = {"0": api.NodeState.GONE, "1": api.NodeState.READY, "2": api.NodeState.DRAINING}
 KINDS = {
     "0": api.ListKind.FAILED,
@@ -49,86 +44,11 @@
     return 0.0 if text == "-" else float(text)
 
 
-def word(table: dict[str, Any], text: str) -> Any:
-    """The meaning of one of the wire's fixed words."""
-    if text not in table:
-        raise WireError(f"unknown value {text!r}")
-    return table[text]
-
-
 def report(text: str) -> tuple[float, ...]:
     """A load report's values, in the order that the settings name."""
     return () if text == "-" else tuple(number(part) for part in text.split(","))
 
 
-def settings_of(text: str) -> api.Settings:
-    """The settings of a start message; keys that are not known here are passed over."""
-    info = json.loads(text)
-    domain, rules, allow = info.get("domain", {}), info.get("guarantees", {}), info.get("policy_limits", {})
-    goal, writes = info.get("goal", {}), info.get("domain", {}).get("changes_data", [])
-    classes = tuple(
-        api.RequestClass(
-            name=c["name"],
-            worth=c["worth"],
-            aim_ms=c["promise_ms"],
-            deadline_ms=c["deadline_ms"],
-            late_share=c.get("late_share", 0.0),
-            effect=word(EFFECTS, c["effect"]),
-            scope=word(SCOPES, c.get("dedup_scope", "all")),
-            memory_ms=c.get("memory_span_ms", 0.0),
-            streamed=c.get("streamed", False),
-            in_order=c.get("in_order", False),
-            writes=at < len(writes) and bool(writes[at]),
-        )
-        for at, c in enumerate(info["classes"])
-    )
-    plans = tuple(
-        api.Plan(
-            name=p["name"],
-            worth_factor=p.get("worth_factor", 1.0),
-            weight=p.get("proportion", 1.0),
-            usual_rate=p.get("usual_rate", 0.0),
-            reserve=p.get("reservation", 0.0),
-            limit=p.get("never_over", 0.0),
-            limit_burst=p.get("limit_burst", 0.0),
-        )
-        for p in info.get("grades", [])
-    )
-    return api.Settings(
-        gateways=info["balancers"],
-        index=info["index"],
-        classes=classes,
-        plans=plans,
-        zone=info.get("zone", ""),
-        tick_ms=info.get("tick_ms", 1.0),
-        mean_units=domain.get("mean_units", 1.0),
-        largest_units=domain.get("units_top", 1.0),
-        fair_worth=domain.get("fair_worth", 1.0),
-        idle_worth=domain.get("idle_worth", 1.0),
-        meter_ms=domain.get("metering_ms", 0.0),
-        goal_whole=goal.get("whole", 1.0),
-        goal_worst_class=goal.get("worst_class", 0.0),
-        goal_worst_plan=goal.get("worst_tenant", 0.0),
-        must_ask=info.get("discovery") == "on_request",
-        max_attempts=allow.get("max_attempts", 1),
-        may_cancel=allow.get("cancel", False),
-        may_probe=allow.get("may_probe", False),
-        may_tell=allow.get("may_tell", False),
-        second_copies=allow.get("second_copies", False),
-        max_retry_after_ms=allow.get("max_retry_after_ms", 0.0) if allow.get("retry_after") else 0.0,
-        connect_timeout_ms=allow.get("connect_timeout_ms", 0.0),
-        cold_from=rules.get("cold_from", 1.0),
-        warm_after_ms=rules.get("warm_after_ms", 0.0),
-        fall_multiple=rules.get("fall_multiple", 0.0),
-        fall_window_ms=rules.get("tip_after_ms", 0.0),
-        cold_units=domain.get("young_limit", 0.0),
-        settle_ms=rules.get("order_settle_ms", 0.0),
-        extra_window_ms=rules.get("extra_window_ms", 0.0),
-        extra_free=rules.get("extra_free", 0.0),
-        extra_share=rules.get("further_ratio", 0.0),
-    )
-
-
 def node(row: list[str]) -> api.Node:
     """An entry of the node list."""
     if row[0] != "M":
@@ -229,7 +149,9 @@
         """Take in one message; a node list reads its entries from ``more``."""
         kind, who = row[0], row[1]
         if kind == "POWER_ON":
-            self.schedulers[who] = Scheduler(settings_of("\t".join(row[3:])), seed=int(row[2]), now=self.now)
+            self.schedulers[who] = Scheduler(
+                settings_of(json.loads("\t".join(row[3:]))), seed=int(row[2]), now=self.now
+            )
             self.events[who] = []
         elif kind == "KILLED":
             self.schedulers.pop(who, None)
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -22,6 +22,7 @@
 from winchdyke.policy import Scheduler, Volume
 
 Told = api.Send | api.Refuse | api.Fail | api.Cancel
+GONE_KEPT = 64  # nodes that have left whose entries are kept
 OVERDUE_MS = 200.0  # past a request's time after which the engine answers without the scheduler
 
 
@@ -99,6 +100,7 @@
         self.tickets: dict[str, Ticket] = {}
         self.counts: Counter[str] = Counter()
         self.watch: Callable[[], None] = lambda: None
+        self.on_post: Callable[[], None] | None = None  # told in place of the task, where turns are another's
         self.nodes: dict[str, api.Node] = {}
         self._inbox: list[api.Event] = []
         self._timers: list[tuple[float, int, int]] = []
@@ -148,18 +150,22 @@
         scheduler = self._scheduler
         self.observer = Observer(scheduler) if self.observing and isinstance(scheduler, Scheduler) else None
 
-    def take(self, request: api.Request) -> Ticket:
+    def take(self, request: api.Request, ticket: Ticket | None = None) -> Ticket:
         """Hand a request to the scheduler, which owes it exactly one final answer from now on."""
         if request.id in self.tickets:
             raise ValueError(f"request {request.id} is held already")
-        ticket = self.tickets[request.id] = Ticket(request.id, self.clock() + request.left_ms)
+        ticket = ticket or Ticket(request.id, self.clock() + request.left_ms)
+        self.tickets[request.id] = ticket
         self.post(request)
         return ticket
 
     def post(self, event: api.Event) -> None:
         """Hand over an event; it is decided on at the task's next turn, with all that came meanwhile."""
         self._inbox.append(event)
-        self._wake.set()
+        if self.on_post is None:
+            self._wake.set()
+        else:
+            self.on_post()
 
     def gone(self, ticket: Ticket) -> None:
         """The client has left."""
@@ -191,6 +197,11 @@
                 await anyio.sleep(0)  # let all that is ready now be said, and handed over together
             self.turn()
 
+    @property
+    def next_due(self) -> float | None:
+        """When the next timer comes due, on the engine's clock; None where there is none."""
+        return self._timers[0][0] if self._timers else None
+
     def _due(self) -> bool:
         return bool(self._timers) and self._timers[0][0] <= self.clock()
 
@@ -217,7 +228,12 @@
         if news.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             self.nodes = {}
         for node in news.nodes:
+            self.nodes.pop(node.name, None)
             self.nodes[node.name] = node
+        # Where stores are ever new, what is gone must not be kept for good; what just went may still be asked for its shard.
+        gone = [name for name, node in self.nodes.items() if node.state is api.NodeState.GONE]
+        for name in gone[:-GONE_KEPT]:
+            del self.nodes[name]
 
     def _carry_out(self, now: float, action: api.Action) -> None:
         self.counts[type(action).__name__] += 1
--- /dev/null
+++ b/winchdyke/platform/clients.py
@@ -0,0 +1,351 @@
+"""The listener and its connections: requests in, one answer each out; strangers bounded in number, bytes and time."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum, auto
+
+from winchdyke.gateway.pool import NO_DESCRIPTORS
+from winchdyke.http1 import Headers, Need, ProtocolError, RequestHead, ServerSide
+from winchdyke.objects import answers
+from winchdyke.platform import sockets, wire
+
+HEAD_MOST = 16 * 1024
+AHEAD_MOST = 64 * 1024  # bytes taken in while an answer is owed, so that a client's leaving is seen
+FIRST_MS = 2400.0  # from a connection's start, or from a request's first byte, to its whole request
+IDLE_MS = 3000.0  # between requests
+LINGER_MS = 800.0  # after an error, for its client to read it before the connection goes
+LINGER_MOST = 1024 * 1024  # bytes of the client's thrown away meanwhile
+LOOK_S = 0.2  # between looks at the times above
+ACCEPT_MOST = 16  # connections taken at one turn of the loop
+BACKLOG = 512
+
+
+class State(Enum):
+    """Where a connection is."""
+
+    FRESH = auto()  # nothing whole has come yet
+    READING = auto()  # a part of a request has come
+    IDLE = auto()  # between requests
+    OPEN = auto()  # a request is owed its answer
+    WRITING = auto()  # an answer is being written
+    LINGER = auto()  # an error was written; the client may read it
+    CLOSED = auto()
+
+
+class Client:
+    """One connection."""
+
+    __slots__ = (
+        "_ahead",
+        "_asked",
+        "_body",
+        "_codec",
+        "_head",
+        "_left",
+        "_paused",
+        "_ports",
+        "_thrown",
+        "came",
+        "closing",
+        "on_gone",
+        "since",
+        "sock",
+        "state",
+    )
+
+    def __init__(self, ports: Clients, sock: socket.socket) -> None:
+        self._ports, self.sock = ports, sock
+        self.state, self.since, self.came = State.FRESH, ports.clock(), 0.0
+        self._codec = ServerSide(HEAD_MOST)
+        self._head: RequestHead | None = None
+        self._asked: wire.Asked | None = None
+        self._body = bytearray()
+        self._left: memoryview | None = None
+        self._ahead = self._thrown = 0
+        self._paused = self.closing = False
+        self.on_gone: Callable[[], None] | None = None
+
+    def turn(self, state: State) -> None:
+        """Go to a state."""
+        self._ports.moved(self, state)
+
+    def readable(self) -> None:
+        """Bytes, or the end."""
+        if self.state is State.CLOSED:
+            return
+        try:
+            data, self.came = sockets.receive(self.sock)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if self.state is State.LINGER:
+            self._thrown += len(data)
+            if not data or self._thrown > LINGER_MOST:
+                self.close()
+            return
+        if not data:
+            self.close()
+            return
+        self._codec.feed(data)
+        if self.state in (State.OPEN, State.WRITING):
+            self._ahead += len(data)
+            if self._ahead > AHEAD_MOST:
+                self._paused = True
+                self._ports.loop.remove_reader(self.sock.fileno())
+            return
+        self._advance()
+
+    def _advance(self) -> None:
+        if self.state not in (State.FRESH, State.IDLE, State.READING):
+            return
+        try:
+            if self._head is None:
+                head = self._codec.head()
+                if isinstance(head, Need):
+                    if self.state is State.IDLE:
+                        self.turn(State.READING)
+                    return
+                if head is None:
+                    self.close()
+                    return
+                if head.target == wire.READY and head.method == "GET":
+                    self._head = head
+                    self.turn(State.OPEN)
+                    self.answer(200, [(b"content-length", b"6")], b"ready\n")
+                    return
+                self._asked = self._ports.reader.asked(head)
+                self._head = head
+                if head.length != 0 and self._codec.waiting_for_continue:
+                    self.sock.send(self._codec.go_on())
+            assert self._asked is not None
+            while not self._codec.body_done:
+                piece = self._codec.body()
+                if isinstance(piece, Need):
+                    if self.state is State.IDLE:
+                        self.turn(State.READING)
+                    return
+                if isinstance(piece, (bytes, bytearray)):
+                    self._body += piece
+                    if len(self._body) > wire.BODY_MOST:
+                        raise ProtocolError(413, "too-large", f"a body may hold {wire.BODY_MOST} bytes")
+        except ProtocolError as error:
+            self.reject(error.status, error.reason, str(error))
+            return
+        except OSError:
+            self.close()
+            return
+        asked, self._asked, asked.body = self._asked, None, bytes(self._body)
+        self._body.clear()
+        self.turn(State.OPEN)
+        try:
+            self._ports.take(self, asked, self.came)
+        except ProtocolError as error:
+            self.reject(error.status, error.reason, str(error))
+
+    def reject(self, status: int, reason: str, text: str) -> None:
+        """Answer an error, and close once the client has had time to read it."""
+        self._ports.counts[reason] += 1
+        self.on_gone = None
+        try:
+            self.sock.send(ServerSide(1024).unasked(*_error(status, reason, text)))
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self.turn(State.LINGER)
+        if self._paused:
+            self._paused = False
+            self._ports.loop.add_reader(self.sock.fileno(), self.readable)
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """The one answer to the request that is open."""
+        if self.state is not State.OPEN:
+            return
+        self.on_gone = None
+        self.closing = self.closing or self._ports.stopping
+        if self.closing:
+            headers = [*headers, (b"connection", b"close")]
+        codec = self._codec
+        sent = codec.answer(status, headers) + (codec.data(body) if body else b"") + codec.end()
+        self.turn(State.WRITING)
+        self._write(memoryview(sent))
+
+    def _write(self, left: memoryview) -> None:
+        try:
+            sent = self.sock.send(left)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        if sent < len(left):
+            if self._left is None:
+                self._ports.loop.add_writer(self.sock.fileno(), self._writable)
+            self._left = left[sent:]
+            return
+        if self._left is not None:
+            self._left = None
+            self._ports.loop.remove_writer(self.sock.fileno())
+        self._answered()
+
+    def _writable(self) -> None:
+        if self._left is not None:
+            self._write(self._left)
+
+    def _answered(self) -> None:
+        if self.closing or not self._codec.reusable:
+            self.close()
+            return
+        self._codec.next_cycle()
+        self._head = None
+        self.turn(State.IDLE)
+        ahead, self._ahead = self._ahead, 0
+        if self._paused:
+            self._paused = False
+            self._ports.loop.add_reader(self.sock.fileno(), self.readable)
+        if ahead:
+            self._ports.loop.call_soon(self._advance)  # others first: many requests may have come at once
+
+    def close(self) -> None:
+        """Close; whoever waits for the answer is told that its client has gone."""
+        if self.state is State.CLOSED:
+            return
+        gone, self.on_gone = self.on_gone, None
+        self._ports.loop.remove_reader(self.sock.fileno())
+        self._ports.loop.remove_writer(self.sock.fileno())
+        self.turn(State.CLOSED)
+        self.sock.close()
+        if gone is not None:
+            gone()
+
+
+def _error(status: int, reason: str, text: str) -> tuple[int, Headers, bytes]:
+    return answers.error(status, "refused", reason, "-", text)
+
+
+class Clients:
+    """All connections of clients."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        sock: socket.socket,
+        reader: wire.Reader,
+        take: Callable[[Client, wire.Asked, float], None],
+        most: int,
+    ) -> None:
+        self.loop, self.clock, self.reader, self.take, self.most = loop, clock, reader, take, most
+        self._sock, self.stopping, self._accepting = sock, False, False
+        # By state, each in the order of its coming there: who has been silent longest stands first.
+        self.by_state: dict[State, dict[Client, None]] = {state: {} for state in State}
+        self.count = 0
+        self.counts: Counter[str] = Counter()
+        self.accept(True)
+        loop.call_later(LOOK_S, self._look)
+
+    def accept(self, on: bool) -> None:
+        """Take connections, or leave them in the queue."""
+        if on and not self._accepting:
+            self.loop.add_reader(self._sock.fileno(), self._arrived)
+        elif not on and self._accepting:
+            self.loop.remove_reader(self._sock.fileno())
+        self._accepting = on
+
+    def moved(self, client: Client, state: State) -> None:
+        """A connection goes to another state."""
+        self.by_state[client.state].pop(client, None)
+        client.state, client.since = state, self.clock()
+        if state is State.CLOSED:
+            self.count -= 1
+            if not self._accepting and self._sock.fileno() >= 0:
+                self.accept(True)
+        else:
+            self.by_state[state][client] = None
+
+    def _arrived(self) -> None:
+        for _ in range(ACCEPT_MOST):
+            if self.count >= self.most and not self._make_room():
+                self.accept(False)  # every one is owed an answer: the queue waits until one ends
+                return
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in NO_DESCRIPTORS and not self._make_room():
+                    self.accept(False)
+                    self.loop.call_later(LOOK_S, self.accept, True)
+                if error.errno not in (*NO_DESCRIPTORS, errno.ECONNABORTED):
+                    return
+                continue
+            try:
+                sockets.stamped(sock)
+            except OSError:
+                sock.close()
+                continue
+            client = Client(self, sock)
+            self.count += 1
+            self.by_state[State.FRESH][client] = None
+            self.loop.add_reader(sock.fileno(), client.readable)
+            client.readable()
+
+    def _make_room(self) -> bool:
+        """Close whoever is silent longest; who has said something is read first."""
+        # Guards against strangers who take every connection and say nothing, whatever they want. It hurts a client that
+        # keeps a connection between requests: it makes a new one.
+        for state in (State.LINGER, State.FRESH, State.READING, State.IDLE):
+            for client in list(self.by_state[state]):
+                if state is not State.LINGER and not sockets.silent(client.sock):
+                    client.readable()
+                if client.state is state:
+                    client.close()
+                if client.state is State.CLOSED:
+                    self.counts["made-room"] += 1
+                    return True
+        return False
+
+    def _look(self) -> None:
+        now = self.clock()
+        for state, most in (
+            (State.FRESH, FIRST_MS),
+            (State.READING, FIRST_MS),
+            (State.IDLE, IDLE_MS),
+            (State.LINGER, LINGER_MS),
+            (State.WRITING, FIRST_MS),
+        ):
+            for client in list(self.by_state[state]):
+                if now - client.since < most:
+                    break
+                self._overdue(client, state)
+        self.loop.call_later(LOOK_S, self._look)
+
+    def _overdue(self, client: Client, state: State) -> None:
+        if state is not State.LINGER and state is not State.WRITING and not sockets.silent(client.sock):
+            client.readable()
+        if client.state is not state:
+            return
+        if state is State.READING:
+            client.reject(408, "head-slow", "the request did not arrive in time")
+        else:
+            client.close()
+
+    @property
+    def busy(self) -> int:
+        """How many are owed an answer."""
+        return len(self.by_state[State.OPEN]) + len(self.by_state[State.WRITING])
+
+    def hang_up(self) -> None:
+        """Close what is between requests."""
+        for client in list(self.by_state[State.IDLE]):
+            if not sockets.silent(client.sock):
+                client.readable()
+            if client.state is State.IDLE:
+                client.close()
--- /dev/null
+++ b/winchdyke/platform/service.py
@@ -0,0 +1,300 @@
+"""One real gateway: the engine driven by the loop's own turns, clients on one side, stores on the other, discovery beside."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import gc
+import os
+import resource
+import time
+from collections import Counter
+
+import structlog
+
+from winchdyke import interface as api
+from winchdyke.gateway import outcomes
+from winchdyke.gateway.engine import Engine, Ticket, Told, monotonic_ms
+from winchdyke.http1 import Headers, ProtocolError
+from winchdyke.interface import ListKind, NodeState, Outcome
+from winchdyke.objects import answers
+from winchdyke.platform import environment, sockets, wire
+from winchdyke.platform.clients import BACKLOG, Client, Clients
+from winchdyke.platform.discovery import Follower
+from winchdyke.platform.stores import Attempt, Place, Stores
+
+RESERVE = 24  # descriptors for the standard streams, the loop, the listener and discovery
+CLIENT_PART = 0.55  # of the other descriptors; what is left is for stores
+COMING_S = 0.7  # after SIGTERM: until when connections may still come, and a while
+HANG_UP_S = 0.45  # after SIGTERM: connections between requests are ended
+TELL_S = 10.0  # between lines of the log
+FAULTY_FILE_TRIES, FAULTY_FILE_S = 5, 0.2  # a file that is being replaced is read again
+
+
+class Call(Ticket):
+    """A request that was taken, its client, and how its last attempt ended."""
+
+    __slots__ = ("asked", "client", "last", "owner")
+
+    def __init__(self, owner: Gateway, client: Client, asked: wire.Asked, end: float) -> None:
+        super().__init__(asked.request.id, end)
+        self.owner, self.client, self.asked, self.last = owner, client, asked, None
+
+    last: Outcome | None
+
+    def tell(self, action: Told) -> None:
+        """What the scheduler, or the engine in its place, says: carried out at once."""
+        self.owner.carry_out(self, action)
+
+
+class Gateway:
+    """All parts of one gateway. Decides nothing."""
+
+    def __init__(self, told: environment.Environment, loop: asyncio.AbstractEventLoop) -> None:
+        self.told, self.loop, self.clock = told, loop, monotonic_ms
+        self.log = structlog.get_logger("gateway")
+        self.engine = Engine(told.settings, told.seed)
+        self.engine.on_post = self._posted
+        self._turning, self._timer_at = False, float("inf")
+        self._timer: asyncio.TimerHandle | None = None
+        self.counts: Counter[str] = Counter()
+        self.places: dict[str, Place] = {}
+        self._states: dict[str, NodeState] = {}
+        self._started: dict[tuple[str, float], float] = {}
+        free = max(32, told.limits.sockets - RESERVE)
+        clients = int(free * CLIENT_PART)
+        self.stores = Stores(
+            loop,
+            self.clock,
+            told.settings.connect_timeout_ms or 1000.0,
+            told.store_idle_ms,
+            free - clients,
+            told.load_fields,
+        )
+        known = wire.listing(told.known) if told.known else wire.Listing(0, True, ())
+        self._listed(known, ListKind.CACHED)
+        self.engine.turn()
+        self._sock = sockets.listening(told.listen, BACKLOG)
+        self.clients = Clients(loop, self.clock, self._sock, wire.Reader(told.settings), self._take, clients)
+        self.follower = Follower(loop, told.discovery, known.version, self._heard)
+        self.over = loop.create_future()
+        self._lag, self._worst_lag = loop.time(), 0.0
+        self._sweep()
+        loop.call_later(TELL_S, self._tell_state)
+        self._arm()
+
+    # The engine's turns.
+
+    def _posted(self) -> None:
+        if not self._turning:
+            self._turning = True
+            self.loop.call_soon(
+                self._turn
+            )  # behind all that is ready now, so that it is handed over together
+
+    def _turn(self) -> None:
+        self._turning = False
+        self.engine.turn()
+        self._arm()
+
+    def _due(self) -> None:
+        self._timer, self._timer_at = None, float("inf")
+        self._posted()
+
+    def _arm(self) -> None:
+        due = self.engine.next_due
+        if due is None or due >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = due
+        self._timer = self.loop.call_at(due / 1000, self._due)
+
+    # Requests.
+
+    def _take(self, client: Client, asked: wire.Asked, came: float) -> None:
+        request = asked.request
+        if request.id in self.engine.tickets:
+            raise ProtocolError(409, "id-in-use", "a request with this Req-Id is open")
+        now = self.clock()
+        left = request.left_ms - max(0.0, now - came)
+        self.counts["taken"] += 1
+        asked.request = dataclasses.replace(request, left_ms=left)
+        call = Call(self, client, asked, now + left)
+        client.on_gone = lambda: self._gone(call)
+        self.engine.take(asked.request, call)
+
+    def _gone(self, call: Call) -> None:
+        self.counts["gone"] += 1
+        self.engine.gone(call)
+
+    def carry_out(self, call: Call, action: Told) -> None:
+        """One action of the scheduler's on a request."""
+        if isinstance(action, api.Send):
+            self._send(call, action)
+        elif isinstance(action, (api.Refuse, api.Fail)):
+            self._final(call, action)
+
+    def _send(self, call: Call, action: api.Send) -> None:
+        number, now = call.attempts, self.clock()
+        call.attempts += 1
+        end = min(call.end, now + action.timeout_ms) if action.timeout_ms else call.end
+        place = self.places.get(action.node)
+        if place is None or end <= now:
+            self._ended(call, number, action.node, wire.Told(Outcome.UNSENT), 0.0, b"")
+            return
+
+        def done(attempt: Attempt, told: wire.Told, latency: float) -> None:
+            self._ended(call, number, action.node, told, latency, attempt.body)
+
+        self.stores.attempt(place, call.asked, end, done)
+
+    def _ended(
+        self, call: Call, number: int, node: str, told: wire.Told, latency: float, body: bytes
+    ) -> None:
+        outcome = call.last = told.outcome
+        self.counts[outcome.name] += 1
+        served = outcome is Outcome.SERVED and not call.closed
+        self.engine.ended(
+            call,
+            api.AttemptEnded(
+                request=call.id,
+                attempt=number,
+                node=node,
+                outcome=outcome,
+                latency_ms=latency,
+                closed=served or call.closed,
+                used_percent=told.used,
+                from_others=told.others,
+                load=told.load,
+            ),
+        )
+        if served:
+            headers: Headers = [(b"content-length", b"%d" % len(body))]
+            call.client.answer(200, headers, body)
+
+    def _final(self, call: Call, action: api.Refuse | api.Fail) -> None:
+        up = self.clock() >= call.end
+        status, outcome, reason = outcomes.final(action, call.last, up)
+        self.counts[f"{outcome}:{reason}"] += 1
+        after = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
+        status, headers, body = answers.error(status, outcome, reason, call.id, outcomes.REASONS[reason])
+        if after > 0:
+            headers.append((b"retry-after", b"%.3f" % (after / 1000)))
+        call.client.answer(status, headers, body)
+
+    # The list.
+
+    def _heard(self, news: wire.Listing) -> None:
+        self._listed(news, ListKind.FULL if news.full else ListKind.CHANGES)
+
+    def _listed(self, news: wire.Listing, kind: ListKind) -> None:
+        now, unix = self.clock(), time.time() * 1000
+        if kind is not ListKind.CHANGES:
+            self.places, self._states = {}, {}
+        nodes = []
+        for entry in news.entries:
+            place = (entry.id, entry.address)
+            before = self.places.get(entry.id)
+            if before is not None and (before != place or entry.state is not NodeState.READY):
+                self.stores.forget(before)
+            if entry.state is NodeState.GONE:
+                self.places.pop(entry.id, None)
+                self._states.pop(entry.id, None)
+            else:
+                self.places[entry.id], self._states[entry.id] = place, entry.state
+            nodes.append(
+                api.Node(entry.id, entry.state, entry.shard, entry.zone, self._since(entry, now, unix))
+            )
+        self._started = {key: at for key, at in self._started.items() if key[0] in self.places}
+        self.engine.post(api.NodeList(kind, tuple(nodes)))
+
+    def _since(self, entry: wire.Entry, now: float, unix: float) -> float:
+        # A start is turned into the engine's time once and kept: turned anew each time, the clocks' drift would make
+        # every list look like a restart. One in the future is a clock that is off: it counts as now.
+        if not entry.started:
+            return 0.0
+        at = max(1e-3, min(now, now - (unix - entry.started)))
+        return self._started.setdefault((entry.id, entry.started), at)
+
+    # Signals, and what only time changes.
+
+    def reload(self, tries: int = FAULTY_FILE_TRIES) -> None:
+        """Read the configuration again; what can't be used is reported, and the settings before stay."""
+        try:
+            told = environment.read(os.environ)
+        except environment.EnvironmentFault as error:
+            if tries > 1:
+                self.loop.call_later(FAULTY_FILE_S, self.reload, tries - 1)
+            else:
+                self.log.error("reload-refused", why=str(error))
+            return
+        if told.settings != self.told.settings or told.listen != self.told.listen:
+            self.log.warning(
+                "reload-in-part", why="settings and the address to listen at change with a start"
+            )
+        self.log.info("reloaded", discovery=":".join(map(str, told.discovery)))
+        self.follower.move(told.discovery)
+
+    def stop(self) -> None:
+        """Answer what has come and what still comes, then end."""
+        if self.clients.stopping:
+            return
+        self.clients.stopping = True
+        self.log.info("stopping", open=self.clients.busy)
+        self.loop.call_later(HANG_UP_S, self._hang_up)
+        self.loop.call_later(COMING_S, self._finish)
+
+    def _hang_up(self) -> None:
+        self.clients.hang_up()
+        if not self.over.done():
+            self.loop.call_later(0.05, self._hang_up)
+
+    def _finish(self) -> None:
+        if self.clients.busy or self.engine.tickets:
+            self.loop.call_later(0.02, self._finish)
+        elif not self.over.done():
+            self.over.set_result(None)
+
+    async def run(self) -> None:
+        """Serve to the end."""
+        gc.collect()
+        gc.freeze()
+        self.log.info("ready", name=self.told.name, stores=len(self.places), memory_mb=_memory_mb())
+        await self.over
+        self.follower.stop()
+        self.stores.close()
+        self._sock.close()
+        self.log.info("stopped", **self.counts)
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        self._worst_lag, self._lag = max(self._worst_lag, now - self._lag), now + 0.25
+        self.stores.sweep(set(self.places.values()))
+        self.engine.answer_overdue(self.clock())
+        self.loop.call_later(0.25, self._sweep)
+
+    def _tell_state(self) -> None:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.log.info(
+            "state",
+            **self.counts,
+            **{f"client:{key}": value for key, value in self.clients.counts.items()},
+            **{f"store:{key}": value for key, value in self.stores.counts.items()},
+            clients=self.clients.count,
+            open=self.clients.busy,
+            links=len(self.stores.links),
+            worst_lag_ms=round(self._worst_lag * 1000, 1),
+            cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
+            memory_mb=_memory_mb(),
+        )
+        self._worst_lag = 0.0
+        self.loop.call_later(TELL_S, self._tell_state)
+
+
+def _memory_mb() -> float:
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return round(int(file.read().split()[1]) * resource.getpagesize() / 2**20, 1)
+    except (OSError, ValueError):
+        return 0.0
--- /dev/null
+++ b/winchdyke/platform/sockets.py
@@ -0,0 +1,74 @@
+"""Sockets that don't block, read with the time at which the kernel took the bytes in.
+
+A process that was kept off its core reads late what came in time. The kernel's stamp (``SO_TIMESTAMPNS``) tells when it
+came, so that neither a store's latency nor a client's time left is the event loop's lag.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import struct
+import time
+
+from winchdyke.gateway.engine import monotonic_ms
+from winchdyke.platform.environment import Address
+
+STAMPS = getattr(socket, "SO_TIMESTAMPNS", 35)  # Linux' number, which the standard library does not name
+STAMP = struct.Struct("@qq")
+ROOM = socket.CMSG_SPACE(STAMP.size)
+CHUNK = 64 * 1024
+
+
+def stamped(sock: socket.socket) -> None:
+    """Ask for stamps, and for no waiting."""
+    sock.setblocking(False)
+    with contextlib.suppress(OSError):  # without stamps, bytes count as come when they are read
+        sock.setsockopt(socket.SOL_SOCKET, STAMPS, 1)
+    if sock.family != socket.AF_UNIX:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def listening(address: Address, backlog: int) -> socket.socket:
+    """A socket that listens."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def receive(sock: socket.socket, most: int = CHUNK) -> tuple[bytes, float]:
+    """Bytes, and when the last of them came in; empty at the end. BlockingIOError where there are none."""
+    data, notes, _, _ = sock.recvmsg(most, ROOM)
+    now = monotonic_ms()
+    for level, kind, value in notes:
+        if level == socket.SOL_SOCKET and kind == STAMPS and len(value) >= STAMP.size:
+            seconds, nanos = STAMP.unpack_from(value)
+            ago = time.time() * 1000 - (seconds * 1000 + nanos / 1e6)
+            return data, now - max(0.0, ago)
+    return data, now
+
+
+def silent(sock: socket.socket) -> bool:
+    """Whether nothing has come that was not read: no bytes, no end, no error."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def connected(sock: socket.socket) -> bool:
+    """Whether a dial has come to its end, good or bad."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/winchdyke/platform/stores.py
@@ -0,0 +1,390 @@
+"""Attempts at stores, and the connections that are kept between them. Nothing here decides anything.
+
+One request at a time goes on a connection. What has run is told by bytes alone: an attempt *never ran* only where its last
+byte was not handed to the kernel, or where the store says so.
+
+=================  ============================================================================  =========
+outcome            what happened                                                                 never ran
+=================  ============================================================================  =========
+``DIAL_FAILED``    no connection came up, or it broke before the request's last byte was written  yes
+``UNSENT``         time was up, or no descriptor was left, before the last byte was written      yes
+``SHED``           the store turned it away                                                      yes
+``RESET``          the connection broke or ended after that, or the answer was spoilt             no
+``ERROR``          any other answer than 200                                                     no
+``TIMED_OUT``      no whole answer when its time was up                                           no
+``SERVED``         a whole 200                                                                   no
+=================  ============================================================================  =========
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+
+from winchdyke.gateway.pool import NO_DESCRIPTORS
+from winchdyke.http1 import AnswerHead, ClientSide, End, Need, ProtocolError
+from winchdyke.interface import Outcome
+from winchdyke.platform import sockets, wire
+
+HEAD_MOST = 16 * 1024
+ANSWER_MOST = (
+    wire.BODY_MOST + 2 * HEAD_MOST
+)  # all bytes of an answer, with what stands ahead of it and its framing
+IDLE_PART = 0.5  # of the stores' idle time: a kept connection ends well before the store ends it
+OWN_FAULTS = (*NO_DESCRIPTORS, errno.EADDRNOTAVAIL)
+
+Place = tuple[str, str]  # a store's id and address: an address can pass to another id
+
+
+class Link:
+    """One connection to a store."""
+
+    __slots__ = ("attempt", "codec", "kept_at", "place", "sock", "stores", "up")
+
+    def __init__(self, stores: Stores, place: Place, sock: socket.socket) -> None:
+        self.stores, self.place, self.sock = stores, place, sock
+        self.codec = ClientSide(HEAD_MOST)
+        self.attempt: Attempt | None = None
+        self.up, self.kept_at = False, 0.0
+
+    def readable(self) -> None:
+        """Something has come: the attempt's, or unasked."""
+        if self.attempt is not None:
+            self.attempt.readable()
+        else:
+            self.close()
+
+    def writable(self) -> None:
+        """It has come up, or failed to, or has room again."""
+        if self.attempt is not None:
+            self.attempt.writable()
+
+    def close(self) -> None:
+        """Close at once."""
+        self.stores.closed(self)
+
+
+class Attempt:
+    """One request on its way to one store. ``done`` is told its end once."""
+
+    __slots__ = (
+        "_at",
+        "_body",
+        "_came",
+        "_dialled",
+        "_head",
+        "_left",
+        "_link",
+        "_received",
+        "_stores",
+        "_timer",
+        "asked",
+        "began",
+        "body",
+        "done",
+        "end",
+        "ended",
+        "place",
+    )
+
+    def __init__(
+        self,
+        stores: Stores,
+        place: Place,
+        asked: wire.Asked,
+        end: float,
+        done: Callable[[Attempt, wire.Told, float], None],
+    ) -> None:
+        self._stores, self.place, self.asked, self.end, self.done = stores, place, asked, end, done
+        self.began, self.ended, self.body = stores.clock(), False, b""
+        self._link: Link | None = None
+        self._head: AnswerHead | None = None
+        self._body = bytearray()
+        self._left: memoryview | None = None
+        self._received, self._came, self._at, self._dialled = 0, 0.0, 0.0, False
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Take a connection and send."""
+        stores = self._stores
+        while (link := stores.kept(self.place)) is not None:
+            link.attempt, self._link = self, link
+            if self._write():
+                self._arm(self.end)
+                return
+            if self.ended:
+                return
+        self._dial()
+
+    def _dial(self) -> None:
+        stores, self._dialled = self._stores, True
+        try:
+            link = stores.dial(self.place)
+        except OSError as error:
+            own = error.errno in OWN_FAULTS
+            self._finish(wire.Told(Outcome.UNSENT if own else Outcome.DIAL_FAILED))
+            return
+        link.attempt, self._link = self, link
+        self._arm(min(self.end, self.began + stores.connect_ms))
+        if sockets.connected(link.sock):
+            self.writable()
+
+    def _arm(self, at: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._at = at
+        self._timer = self._stores.loop.call_at(at / 1000, self._due)
+
+    def _due(self) -> None:
+        link = self._link
+        assert link is not None
+        if not link.up and sockets.connected(link.sock):
+            self.writable()
+        elif link.up:
+            # Guards against calling silent a store whose answer lies in the socket: the process was late, not the store.
+            self.readable()
+        if self.ended or self._stores.clock() < self._at:
+            return
+        if self._left is None and link.up:
+            self._finish(wire.Told(Outcome.TIMED_OUT))
+        else:
+            late = not link.up and self._at < self.end
+            self._finish(wire.Told(Outcome.DIAL_FAILED if late else Outcome.UNSENT))
+
+    def _payload(self) -> bytes:
+        codec, asked = self._link.codec, self.asked  # type: ignore[union-attr]
+        headers = wire.onward(asked, self.end - self._stores.clock())
+        payload = codec.request(asked.method, asked.target, headers)
+        if asked.body:
+            payload += codec.data(asked.body)
+        return payload + codec.end()
+
+    def _write(self) -> bool:
+        """Send what is left; False where a kept connection turned out dead with nothing of the request written."""
+        link = self._link
+        assert link is not None
+        fresh = self._left is None
+        left = memoryview(self._payload()) if self._left is None else self._left
+        try:
+            sent = link.sock.send(left)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            if fresh and not self._dialled:
+                link.attempt = None
+                link.close()
+                return False
+            self._finish(wire.Told(Outcome.DIAL_FAILED))  # its last byte was never written
+            return True
+        if sent == len(left):
+            if self._left is not None:
+                self._stores.loop.remove_writer(link.sock.fileno())
+            self._left = None
+        else:
+            if self._left is None:
+                self._stores.loop.add_writer(link.sock.fileno(), link.writable)
+            self._left = left[sent:]
+        return True
+
+    def writable(self) -> None:
+        """The connection has come up, or has room again."""
+        link = self._link
+        assert link is not None
+        if not link.up:
+            fault = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if fault:
+                own = fault in OWN_FAULTS
+                self._finish(wire.Told(Outcome.UNSENT if own else Outcome.DIAL_FAILED))
+                return
+            link.up = True
+            self._stores.loop.remove_writer(link.sock.fileno())
+            self._stores.loop.add_reader(link.sock.fileno(), link.readable)
+            self._arm(self.end)
+        self._write()
+
+    def readable(self) -> None:
+        """Take in what has come of the answer."""
+        link = self._link
+        assert link is not None
+        while not self.ended:
+            try:
+                data, self._came = sockets.receive(link.sock)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._broken(os.strerror(error.errno or 0))
+                return
+            self._received += len(data)
+            try:
+                link.codec.feed(data)
+                whole = self._read(link.codec)
+            except ProtocolError:
+                self._spoilt("http")
+                return
+            if whole or self.ended:
+                return
+            if not data:
+                self._broken("ended")
+                return
+            if self._received > ANSWER_MOST:
+                self._spoilt("too-large")
+                return
+            if len(data) < sockets.CHUNK:
+                return
+
+    def _broken(self, why: str) -> None:
+        self._stores.counts[f"broken:{why}"] += 1
+        # Claimed to have never run only while a part of it is still here.
+        self._finish(wire.Told(Outcome.RESET if self._left is None else Outcome.DIAL_FAILED))
+
+    def _spoilt(self, why: str) -> None:
+        self._stores.counts[f"spoilt:{why}"] += 1
+        self._finish(wire.Told(Outcome.RESET))
+
+    def _read(self, codec: ClientSide) -> bool:
+        if self._head is None:
+            head = codec.head()
+            if isinstance(head, Need):
+                return False
+            if not wire.fits(head):
+                self._spoilt("length")
+                return False
+            self._head = head
+        while not isinstance(piece := codec.body(), Need):
+            if isinstance(piece, End):
+                self.body = bytes(self._body)
+                self._finish(wire.told(self._head, self._stores.load_fields))
+                return True
+            self._body += piece
+            if len(self._body) > wire.BODY_MOST:
+                self._spoilt("too-large")
+                return False
+        return False
+
+    def _finish(self, told: wire.Told) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        link, self._link = self._link, None
+        answered = told.outcome in (Outcome.SERVED, Outcome.ERROR, Outcome.SHED)
+        if link is not None:
+            link.attempt = None
+            if answered and self._left is None and link.codec.reusable:
+                self._stores.keep(link)
+            else:
+                link.close()
+        if told.outcome is Outcome.TIMED_OUT:
+            # What is kept open to a machine that says nothing may be dead too; a new one tells it sooner.
+            self._stores.forget(self.place)
+        at = self._came if answered else self._stores.clock()
+        self.done(self, told, max(0.0, at - self.began))
+
+
+class Stores:
+    """The connections of one gateway to all stores."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        connect_ms: float,
+        idle_ms: float,
+        most: int,
+        load_fields: tuple[str, ...] = (),
+    ) -> None:
+        self.loop, self.clock, self.connect_ms, self.load_fields = loop, clock, connect_ms, load_fields
+        self.idle_ms, self.most = idle_ms * IDLE_PART, most
+        self.links: set[Link] = set()
+        self._idle: OrderedDict[Link, None] = OrderedDict()  # longest kept first
+        self._by_place: dict[Place, list[Link]] = {}
+        self.counts: Counter[str] = Counter()
+
+    def __str__(self) -> str:
+        return (
+            f"stores: {len(self.links)} connections, {len(self._idle)} idle, {self.counts['dialled']} dialled"
+        )
+
+    def attempt(
+        self, place: Place, asked: wire.Asked, end: float, done: Callable[[Attempt, wire.Told, float], None]
+    ) -> Attempt:
+        """Send a request to a store; ``done`` is told once how it ended."""
+        attempt = Attempt(self, place, asked, end, done)
+        attempt.start()
+        return attempt
+
+    def kept(self, place: Place) -> Link | None:
+        """A kept connection on which nothing has come since."""
+        line = self._by_place.get(place)
+        while line:
+            link = line.pop()
+            del self._idle[link]
+            if self.clock() - link.kept_at < self.idle_ms and sockets.silent(link.sock):
+                self.counts["reused"] += 1
+                return link
+            link.close()
+        return None
+
+    def dial(self, place: Place) -> Link:
+        """Begin a new connection. OSError where it can't be begun."""
+        if len(self.links) >= self.most:
+            if not self._idle:
+                raise OSError(errno.EMFILE, "as many connections to stores as may be are in use")
+            next(iter(self._idle)).close()
+        host, _, port = place[1].rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sockets.stamped(sock)
+            fault = sock.connect_ex((host, int(port)))
+            if fault not in (0, errno.EINPROGRESS):
+                raise OSError(fault, os.strerror(fault))
+        except BaseException:
+            sock.close()
+            raise
+        link = Link(self, place, sock)
+        self.links.add(link)
+        self.counts["dialled"] += 1
+        self.loop.add_writer(sock.fileno(), link.writable)
+        return link
+
+    def keep(self, link: Link) -> None:
+        """Keep a connection whose exchange is over."""
+        link.codec.next_cycle()
+        link.kept_at = self.clock()
+        self._idle[link] = None
+        self._by_place.setdefault(link.place, []).append(link)
+
+    def closed(self, link: Link) -> None:
+        """Close a connection and forget it."""
+        if link not in self.links:
+            return
+        self.links.discard(link)
+        if link in self._idle:
+            del self._idle[link]
+            self._by_place[link.place].remove(link)
+        if not self._by_place.get(link.place, True):
+            del self._by_place[link.place]
+        self.loop.remove_reader(link.sock.fileno())
+        self.loop.remove_writer(link.sock.fileno())
+        link.sock.close()
+
+    def forget(self, place: Place) -> None:
+        """Close what is idle at a place."""
+        for link in list(self._by_place.get(place, ())):
+            link.close()
+
+    def sweep(self, places: set[Place]) -> None:
+        """Close what has been idle for long, or is kept at a place that no list names."""
+        old = self.clock() - self.idle_ms
+        for link in [link for link in self._idle if link.kept_at <= old or link.place not in places]:
+            link.close()
+
+    def close(self) -> None:
+        """Close all that is idle."""
+        for link in list(self._idle):
+            link.close()
--- /dev/null
+++ b/winchdyke/platform/wire.py
@@ -0,0 +1,211 @@
+"""The platform's messages: heads to requests, answers to outcomes, entries of the list. Pure; every field is checked."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from dataclasses import dataclass
+from typing import Any
+
+from winchdyke import interface as api
+from winchdyke.http1 import AnswerHead, Headers, ProtocolError, RequestHead
+from winchdyke.interface import NodeState, Outcome
+
+BODY_MOST = 64 * 1024  # the protocol's bound on any body
+READY, TARGETS = b"/-/ready", b"/api/targets"
+PATH = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]*)?")
+TOKEN = re.compile(rb"[\x21-\x7e]{1,128}")
+WHOLE = re.compile(rb"[0-9]{1,9}")
+EXTRAS = re.compile(rb"units=([0-9]{1,9}(?:\.[0-9]{1,6})?),shard=(-1|[0-9]{1,9}),hosts=([0-9]{1,9})")
+OWN = (b"req-id", b"req-kind", b"x-plan", b"req-deadline-ms", b"x-io", b"req-retry", b"idempotency-key")
+PASSED = (b"idempotency-key", b"req-kind", b"x-plan", b"x-io", b"req-retry", b"content-type")
+STATES = {"in_service": NodeState.READY, "terminating": NodeState.DRAINING, "terminated": NodeState.GONE}
+
+
+@dataclass(slots=True)
+class Asked:
+    """A client's request: what the scheduler is told of it, and what passes on unchanged."""
+
+    request: api.Request
+    method: str
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Told:
+    """What an answer of a store means. ``used``: the volume's use in percent; ``others``: units served elsewhere."""
+
+    outcome: Outcome
+    used: float | None = None
+    others: float = 0.0
+    load: tuple[float, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A store of the list; ``started`` is Unix time in milliseconds, 0 where it has been up for long."""
+
+    id: str
+    address: str
+    state: NodeState
+    shard: int
+    zone: str
+    started: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """The whole list, or what changed."""
+
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+
+
+class ListFault(Exception):
+    """Something of discovery's that can't be read."""
+
+
+def _bad(reason: str, text: str) -> ProtocolError:
+    return ProtocolError(400, reason, text)
+
+
+class Reader:
+    """Reads the heads of clients' requests by the settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._kinds = {kind.name.encode(): kind for kind in settings.classes}
+        self._plans = {plan.name.encode(): plan.name for plan in settings.plans}
+        self._most, self._gateways = settings.largest_units, settings.gateways
+
+    def asked(self, head: RequestHead) -> Asked:
+        """The request of a head, with its time as it was sent. ProtocolError where a field can't be used."""
+        found: dict[bytes, bytes] = {}
+        for name, value in head.headers:
+            if name in found and name in OWN:
+                raise _bad("bad-header", f"more than one {name.decode()}")
+            found[name] = value
+        if head.length is not None and head.length > BODY_MOST:
+            raise ProtocolError(413, "too-large", f"a body may hold {BODY_MOST} bytes")
+        path = PATH.fullmatch(head.target)
+        if path is None:
+            raise ProtocolError(404, "bad-path", "the path is not /api/VOLUME/DATA, 16 hex digits each")
+        kind = self._kinds.get(found.get(b"req-kind", b""))
+        if kind is None:
+            raise _bad("no-class", "Req-Kind names no class of requests")
+        method = "PUT" if kind.writes else "GET"
+        if head.method != method:
+            raise ProtocolError(405, "method", f"{kind.name} goes by {method}")
+        if method == "GET" and head.length != 0:
+            raise _bad("bad-header", "a read has no body")
+        plan = self._plans.get(found.get(b"x-plan", b""))
+        if plan is None:
+            raise _bad("no-plan", "X-Plan names no plan")
+        if not TOKEN.fullmatch(found.get(b"req-id", b"")):
+            raise _bad("bad-header", "Req-Id is missing or can't be used")
+        if kind.effect is api.Effect.KEYED and not found.get(b"idempotency-key"):
+            raise _bad("bad-header", f"{kind.name} needs an Idempotency-Key")
+        deadline = found.get(b"req-deadline-ms", b"")
+        if not WHOLE.fullmatch(deadline) or not int(deadline):
+            raise _bad("bad-header", "Req-Deadline-Ms is no whole number above 0")
+        extras = EXTRAS.fullmatch(found.get(b"x-io", b"").replace(b" ", b""))
+        if extras is None:
+            raise _bad("bad-header", "X-IO is not units=N,shard=N,hosts=N")
+        units, shard, hosts = float(extras[1]), int(extras[2]), int(extras[3])
+        if not 0 < units <= self._most or not 0 < hosts <= self._gateways:
+            raise _bad("bad-header", f"X-IO: units are up to {self._most:g}, hosts 1 to {self._gateways}")
+        request = api.Request(
+            id=found[b"req-id"].decode("ascii"),
+            class_name=kind.name,
+            plan=plan,
+            volume=path[1].decode("ascii"),
+            key=path[2].decode("ascii"),
+            units=units,
+            shard=shard,
+            gateways=hosts,
+            left_ms=float(int(deadline)),
+            repeat=found.get(b"req-retry") == b"1",
+        )
+        headers = [(b"host", found.get(b"host", b"")), (b"req-id", found[b"req-id"])]
+        headers += [(name, found[name]) for name in PASSED if name in found]
+        return Asked(request, method, head.target, headers)
+
+
+def onward(asked: Asked, left_ms: float) -> Headers:
+    """The headers that a store gets."""
+    headers = [*asked.headers, (b"req-deadline-ms", b"%d" % max(1, int(left_ms)))]
+    if asked.method == "PUT":
+        headers.append((b"content-length", b"%d" % len(asked.body)))
+    return headers
+
+
+def _figure(text: str | None) -> float | None:
+    """A figure that a store tells; one that can't be read is dropped."""
+    try:
+        value = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return value if value is not None and math.isfinite(value) and value >= 0 else None
+
+
+def _load(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
+    if text is None or not fields:
+        return ()
+    pairs = dict(part.strip().partition("=")[::2] for part in text.split(","))
+    values = [_figure(pairs.get(field)) for field in fields]
+    return tuple(value for value in values if value is not None) if None not in values else ()
+
+
+def fits(head: AnswerHead) -> bool:
+    """Whether an answer's head tells where its body ends, in one way, and within the bound."""
+    names = [name for name, _ in head.headers]
+    framed = (b"content-length" in names) + (b"transfer-encoding" in names)
+    return framed == 1 and (head.length is None or head.length <= BODY_MOST)
+
+
+def told(head: AnswerHead, fields: tuple[str, ...]) -> Told:
+    """What an answer of a store means."""
+    if head.status == 200:
+        outcome = Outcome.SERVED
+    elif head.status in (503, 504) and head.get(b"srv-declined") == "1":
+        outcome = Outcome.SHED
+    else:
+        outcome = Outcome.ERROR
+    others = _figure(head.get(b"x-served-elsewhere"))
+    return Told(
+        outcome, _figure(head.get(b"x-volume-use")), others or 0.0, _load(head.get(b"srv-load"), fields)
+    )
+
+
+def _entry(row: Any) -> Entry:
+    if not isinstance(row, dict):
+        raise ListFault("an entry is no object")
+    name, place, state, shard = row.get("id"), row.get("addr"), row.get("state"), row.get("cell")
+    started, zone = row.get("started_ms", 0), row.get("zone", "")
+    if not isinstance(name, str) or not name or not isinstance(place, str) or state not in STATES:
+        raise ListFault(f"an entry can't be used: id {name!r}, addr {place!r}, state {state!r}")
+    host, _, port = place.rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+        raise ListFault(f"{name}: addr is {place!r}, which is not HOST:PORT")
+    if isinstance(shard, bool) or not isinstance(shard, int):
+        raise ListFault(f"{name}: cell is {shard!r}, which is no whole number")
+    if isinstance(started, bool) or not isinstance(started, (int, float)) or not math.isfinite(started):
+        raise ListFault(f"{name}: started_ms is {started!r}, which is no time")
+    return Entry(name, place, STATES[state], shard, str(zone), max(0.0, float(started)))
+
+
+def listing(data: bytes | dict[str, Any]) -> Listing:
+    """A list of discovery's, or a line of its watch. ListFault where it can't be read."""
+    try:
+        info = json.loads(data) if isinstance(data, bytes) else data
+    except ValueError as error:
+        raise ListFault(f"no JSON: {error}") from error
+    if not isinstance(info, dict):
+        raise ListFault("no object")
+    version, rows = info.get("version"), info.get("servers")
+    if isinstance(version, bool) or not isinstance(version, int) or not isinstance(rows, list):
+        raise ListFault("'version' or 'servers' is missing")
+    return Listing(version, info.get("full") is True, tuple(_entry(row) for row in rows))
