--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -177,6 +177,11 @@
         """Whether the connection can carry another request."""
         return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
 
+    @property
+    def more(self) -> bool:
+        """Whether bytes of a next request have been taken in."""
+        return bool(self._h11.trailing_data[0])
+
     def next_cycle(self) -> None:
         """Be ready for the next request."""
         self._h11.start_next_cycle()
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -18,6 +18,7 @@
 AHEAD_MOST = 64 * 1024  # bytes taken in while an answer is owed, so that a client's leaving is seen
 FIRST_MS = 2400.0  # from a connection's start, or from a request's first byte, to its whole request
 IDLE_MS = 2000.0  # between requests: some clients ask once and stay, and hold what others need
+WRITE_MS = 10_000.0  # for an answer to be taken by its client
 LINGER_MS = 800.0  # after an error, for its client to read it before the connection goes
 LINGER_MOST = 1024 * 1024  # bytes of the client's thrown away meanwhile
 LOOK_S = 0.1  # between looks at the times above
@@ -203,14 +204,14 @@
         if self.closing or not self._codec.reusable:
             self.close()
             return
+        more = self._codec.more
         self._codec.next_cycle()
-        self._head = None
+        self._head, self._ahead = None, 0
         self.turn(State.IDLE)
-        ahead, self._ahead = self._ahead, 0
         if self._paused:
             self._paused = False
             self._ports.loop.add_reader(self.sock.fileno(), self.readable)
-        if ahead:
+        if more:
             self._ports.loop.call_soon(self._advance)  # others first: many requests may have come at once
 
     def close(self) -> None:
@@ -319,7 +320,7 @@
             (State.READING, FIRST_MS),
             (State.IDLE, IDLE_MS),
             (State.LINGER, LINGER_MS),
-            (State.WRITING, FIRST_MS),
+            (State.WRITING, WRITE_MS),
         ):
             for client in list(self.by_state[state]):
                 if now - client.since < most:
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -69,6 +69,7 @@
             told.store_idle_ms,
             free - clients,
             told.load_fields,
+            told.limits.memory_mb,
         )
         known = wire.listing(told.known) if told.known else wire.Listing(0, True, ())
         self._listed(known, ListKind.CACHED)
--- a/winchdyke/platform/stores.py
+++ b/winchdyke/platform/stores.py
@@ -32,9 +32,8 @@
 from winchdyke.platform import sockets, wire
 
 HEAD_MOST = 16 * 1024
-ANSWER_MOST = (
-    wire.BODY_MOST + 2 * HEAD_MOST
-)  # all bytes of an answer, with what stands ahead of it and its framing
+AROUND_MOST = 2 * HEAD_MOST  # bytes of an answer beside its body: what stands ahead of it, head and framing
+ANSWER_PART, HELD_PART = 1 / 64, 1 / 8  # of the memory, for one answer and for all that are being read
 IDLE_PART = 0.5  # of the stores' idle time: a kept connection ends well before the store ends it
 OWN_FAULTS = (*NO_DESCRIPTORS, errno.EADDRNOTAVAIL)
 
@@ -240,7 +239,7 @@
                 return
             if whole or self.ended:
                 return
-            if self._received > ANSWER_MOST:
+            if self._received > 2 * self._stores.answer_most + AROUND_MOST:
                 self._spoilt("too-large")
                 return
             if len(data) < sockets.CHUNK:
@@ -260,7 +259,7 @@
             head = codec.head()
             if isinstance(head, Need):
                 return False
-            if not wire.fits(head):
+            if not wire.fits(head, self._stores.answer_most):
                 self._spoilt("length")
                 return False
             self._head = head
@@ -270,7 +269,8 @@
                 self._finish(wire.told(self._head, self._stores.load_fields))
                 return True
             self._body += piece
-            if len(self._body) > wire.BODY_MOST:
+            self._stores.held += len(piece)
+            if len(self._body) > self._stores.answer_most or self._stores.held > self._stores.held_most:
                 self._spoilt("too-large")
                 return False
         return False
@@ -279,6 +279,7 @@
         if self.ended:
             return
         self.ended = True
+        self._stores.held -= len(self._body)
         if self._timer is not None:
             self._timer.cancel()
         link, self._link = self._link, None
@@ -307,7 +308,12 @@
         idle_ms: float,
         most: int,
         load_fields: tuple[str, ...] = (),
+        memory_mb: float = 64.0,
     ) -> None:
+        # An answer is read whole before any of it is passed on. Stores send more than the protocol's 64 KiB at times: what
+        # bounds an answer, and all that are being read, is this machine's memory.
+        self.answer_most = max(wire.BODY_MOST, int(memory_mb * 2**20 * ANSWER_PART))
+        self.held, self.held_most = 0, int(memory_mb * 2**20 * HELD_PART)
         self.loop, self.clock, self.connect_ms, self.load_fields = loop, clock, connect_ms, load_fields
         self.idle_ms, self.most = idle_ms * IDLE_PART, most
         self.links: set[Link] = set()
--- a/winchdyke/platform/wire.py
+++ b/winchdyke/platform/wire.py
@@ -12,7 +12,7 @@
 from winchdyke.http1 import AnswerHead, Headers, ProtocolError, RequestHead
 from winchdyke.interface import NodeState, Outcome
 
-BODY_MOST = 64 * 1024  # the protocol's bound on any body
+BODY_MOST = 64 * 1024  # the protocol's bound on a body; answers of stores go beyond it at times
 READY, TARGETS = b"/-/ready", b"/api/targets"
 PATH = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]*)?")
 TOKEN = re.compile(rb"[\x21-\x7e]{1,128}")
@@ -159,11 +159,11 @@
     return tuple(value for value in values if value is not None) if None not in values else ()
 
 
-def fits(head: AnswerHead) -> bool:
+def fits(head: AnswerHead, most: int = BODY_MOST) -> bool:
     """Whether an answer's head tells where its body ends, in one way, and within the bound."""
     names = [name for name, _ in head.headers]
     framed = (b"content-length" in names) + (b"transfer-encoding" in names)
-    return framed == 1 and (head.length is None or head.length <= BODY_MOST)
+    return framed == 1 and (head.length is None or head.length <= most)
 
 
 def told(head: AnswerHead, fields: tuple[str, ...]) -> Told:
