Idle client connections beyond use are ended; readiness is answered with a close

Counts of connections by state, four times a second: 127 idle, 100 that had said nothing, 1 to 5 open. Clients asked once and kept the connection for good; idle ones ended after 2 s (clients.IDLE_MS), room for some 64 requests a second.

platform/room.py, pure: idle connections beyond twice the most requests open of late, and 16, are ended, the longest idle first. Clients may have 0.7 of the descriptors, as stores used a tenth.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from winchdyke.http1 import ClientSide, Need, ProtocolError, ServerSide
 from winchdyke.interface import Outcome
 from winchdyke.platform import environment, wire
+from winchdyke.platform.room import HALF_MS, LEAST, TIMES, Room
 
 TOLD = {
     "balancers": 2,
@@ -241,3 +242,12 @@
     (tmp_path / "half").write_text('{"name": ')
     with pytest.raises(environment.EnvironmentFault, match="no JSON"):
         environment.read({"NODE_CONFIG": str(tmp_path / "half")})
+
+
+def test_idle_connections_are_kept_by_how_many_were_open_of_late():
+    """A recorded day (0.07): clients that ask once and stay were all the connections that others could have had."""
+    room = Room(0.0)
+    assert room.keeps(0.0, 0) == LEAST
+    assert room.keeps(10.0, 40) == LEAST + TIMES * 40
+    assert room.keeps(10.0 + HALF_MS, 0) == LEAST + TIMES * 20, "not forgotten at once"
+    assert room.keeps(10.0 + 20 * HALF_MS, 3) == LEAST + TIMES * 3
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -308,6 +308,35 @@
     asyncio.run(play())
 
 
+def test_clients_that_ask_once_and_stay_are_ended_the_longest_idle_first(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            stayed = []
+            for _ in range(60):
+                reader, writer = await it.open()
+                writer.write(it.request())
+                assert (await answer(reader))[0] == 200
+                stayed.append((reader, writer))
+            assert len(it.gateway.clients.by_state[State.IDLE]) <= 20
+            assert stayed[0][0].at_eof() or await stayed[0][0].read() == b""
+            reader, writer = stayed[-1]
+            writer.write(it.request())
+            assert (await answer(reader))[0] == 200, "the last is kept"
+            for _, writer in stayed:
+                writer.close()
+
+    asyncio.run(play())
+
+
+def test_readiness_is_answered_with_a_close(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            status, headers, _ = await it.ask(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            assert (status, headers["connection"]) == (200, "close") and not it.gateway.clients.count
+
+    asyncio.run(play())
+
+
 def test_pipelined_requests_are_answered_in_turn(tmp_path):
     async def play() -> None:
         async with site(tmp_path) as it:
--- a/winchdyke/cli/main.py
+++ b/winchdyke/cli/main.py
@@ -15,6 +15,7 @@
     load,
     model,
     nodes,
+    platform,
     serve,
     standin,
     waits,
@@ -29,6 +30,7 @@
 
 for command in (
     serve.command,
+    platform.command,
     check.command,
     config.command,
     dev.command,
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -13,9 +13,11 @@
 from winchdyke.http1 import Headers, Need, ProtocolError, RequestHead, ServerSide
 from winchdyke.objects import answers
 from winchdyke.platform import sockets, wire
+from winchdyke.platform.room import Room
 
 HEAD_MOST = 16 * 1024
 AHEAD_MOST = 64 * 1024  # bytes taken in while an answer is owed, so that a client's leaving is seen
+GRACE_MS = 150.0  # from a connection's start, in which its request is still on its way
 FIRST_MS = 2400.0  # from a connection's start, or from a request's first byte, to its whole request
 IDLE_MS = 2000.0  # between requests: some clients ask once and stay, and hold what others need
 WRITE_MS = 10_000.0  # for an answer to be taken by its client
@@ -117,7 +119,7 @@
                     self.close()
                     return
                 if head.target == wire.READY and head.method == "GET":
-                    self._head = head
+                    self._head, self.closing = head, True  # whoever asks that, by hundreds maybe, asks once
                     self.turn(State.OPEN)
                     self.answer(200, [(b"content-length", b"6")], b"ready\n")
                     return
@@ -208,6 +210,7 @@
         self._codec.next_cycle()
         self._head, self._ahead = None, 0
         self.turn(State.IDLE)
+        self._ports.trim()
         if self._paused:
             self._paused = False
             self._ports.loop.add_reader(self.sock.fileno(), self.readable)
@@ -247,7 +250,7 @@
         self._sock, self.stopping, self._accepting = sock, False, False
         # By state, each in the order of its coming there: who has been silent longest stands first.
         self.by_state: dict[State, dict[Client, None]] = {state: {} for state in State}
-        self.count = 0
+        self.count, self._room = 0, Room(clock())
         self.counts: Counter[str] = Counter()
         self.accept(True)
         loop.call_later(LOOK_S, self._look)
@@ -274,7 +277,8 @@
     def _arrived(self) -> None:
         for _ in range(ACCEPT_MOST):
             if self.count >= self.most and not self._make_room():
-                self.accept(False)  # every one is owed an answer: the queue waits until one ends
+                self.accept(False)  # every one is owed an answer, or has just come: the queue waits
+                self.loop.call_later(LOOK_S / 2, self.accept, True)
                 return
             try:
                 sock, _ = self._sock.accept()
@@ -298,12 +302,28 @@
             self.loop.add_reader(sock.fileno(), client.readable)
             client.readable()
 
+    def trim(self) -> None:
+        """Close what is idle beyond what is worth keeping, the longest idle first."""
+        idle = self.by_state[State.IDLE]
+        most = self._room.keeps(self.clock(), self.busy)
+        while len(idle) > most:
+            client = next(iter(idle))
+            if not sockets.silent(client.sock):
+                client.readable()
+            if client.state is State.IDLE:
+                self.counts["idle-beyond-use"] += 1
+                client.close()
+
     def _make_room(self) -> bool:
         """Close whoever is silent longest; who has said something is read first."""
         # Guards against strangers who take every connection and say nothing, whatever they want. It hurts a client that
-        # keeps a connection between requests: it makes a new one.
+        # keeps a connection between requests: it makes a new one. Who has just come is let be: hundreds at a time
+        # would else take those along whose request is on its way.
+        young = self.clock() - GRACE_MS
         for state in (State.LINGER, State.FRESH, State.READING, State.IDLE):
             for client in list(self.by_state[state]):
+                if state is State.FRESH and client.since > young:
+                    break
                 if state is not State.LINGER and not sockets.silent(client.sock):
                     client.readable()
                 if client.state is state:
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -24,7 +24,7 @@
 from winchdyke.platform.stores import Attempt, Place, Stores
 
 RESERVE = 24  # descriptors for the standard streams, the loop, the listener and discovery
-CLIENT_PART = 0.55  # of the other descriptors; what is left is for stores
+CLIENT_PART = 0.7  # of the other descriptors; what is left is for stores
 COMING_S = 0.7  # after SIGTERM: until when connections may still come, and a while
 HANG_UP_S = 0.45  # after SIGTERM: connections between requests are ended
 TELL_S = 10.0  # between lines of the log
