--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -233,6 +233,19 @@
     asyncio.run(play())
 
 
+def test_a_kept_connection_is_looked_at_before_use_also_where_the_loop_has_not_turned_since(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            await it.ask()
+            place = it.gateway.places["s-1"]
+            await until(lambda: bool(it.gateway.stores._idle))
+            it.store.writers[0].write(GOOD)
+            time.sleep(0.05)  # the bytes are there; the loop has not seen them
+            assert it.gateway.stores.kept(place) is None
+
+    asyncio.run(play())
+
+
 def test_a_large_answer_is_served_whole_and_one_beyond_the_memory_is_not(tmp_path):
     size = {1: 180_000, 2: 2_000_000}
 
