The listener is left before it closes; a body's end ends its reading

Read over once more: at the end the loop still watched the listener's descriptor as it was closed, and the loop that reads a body relied on the parser's state alone to end.

Clients.accept(False) comes before the close; End breaks the loop.

--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -10,7 +10,7 @@
 from enum import Enum, auto
 
 from winchdyke.gateway.pool import NO_DESCRIPTORS
-from winchdyke.http1 import Headers, Need, ProtocolError, RequestHead, ServerSide
+from winchdyke.http1 import End, Headers, Need, ProtocolError, RequestHead, ServerSide
 from winchdyke.objects import answers
 from winchdyke.platform import sockets, wire
 from winchdyke.platform.room import Room
@@ -134,10 +134,11 @@
                     if self.state is State.IDLE:
                         self.turn(State.READING)
                     return
-                if isinstance(piece, (bytes, bytearray)):
-                    self._body += piece
-                    if len(self._body) > wire.BODY_MOST:
-                        raise ProtocolError(413, "too-large", f"a body may hold {wire.BODY_MOST} bytes")
+                if isinstance(piece, End):
+                    break
+                self._body += piece
+                if len(self._body) > wire.BODY_MOST:
+                    raise ProtocolError(413, "too-large", f"a body may hold {wire.BODY_MOST} bytes")
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
             return
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -267,6 +267,7 @@
         await self.over
         self.follower.stop()
         self.stores.close()
+        self.clients.accept(False)
         self._sock.close()
         self.log.info("stopped", **self.counts)
 
