Read once more: one way to end a client's connection, dead state taken out

Four places looked whether something had come on a connection before they ended it, each in its own copy; running out of descriptors went on to accept where it had just been told to wait; a map of the list's states was written and never read; two defaults of Stores were never used; a time-out that fired a hair early by the clock was let pass without being set again.

--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -37,7 +37,7 @@
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.address = f"127.0.0.1:{port_of(self.server)}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -106,6 +106,16 @@
         await asyncio.sleep(0.01)
 
 
+def port_of(server: asyncio.Server) -> int:
+    return int(server.sockets[0].getsockname()[1])
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
 async def discovery(watches: list[asyncio.StreamWriter]) -> asyncio.Server:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
@@ -130,13 +140,11 @@
         "state": "in_service",
         "started_ms": 0,
     }
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
+    port = free_port()
     variables = config(
         path / "config.json",
         listen=f"127.0.0.1:{port}",
-        discovery=f"127.0.0.1:{lists.sockets[0].getsockname()[1]}",
+        discovery=f"127.0.0.1:{port_of(lists)}",
         known={"version": 1, "full": True, "servers": [entry] if listed else []},
         limits={"cores": 1, "memory_mb": 64, "sockets": sockets_most},
     )
@@ -411,7 +419,7 @@
             it.gateway.reload(tries=1)
             assert it.gateway.follower.address[1] == int(info["discovery"].rpartition(":")[2])
             lists = await discovery(watches)
-            info["discovery"] = f"127.0.0.1:{lists.sockets[0].getsockname()[1]}"
+            info["discovery"] = f"127.0.0.1:{port_of(lists)}"
             path.write_text(json.dumps(info))
             it.gateway.reload()
             await until(lambda: bool(watches))
@@ -462,15 +470,12 @@
 @pytest.mark.parametrize("early", [False, True])
 def test_the_program_starts_survives_sighup_and_ends_with_0(tmp_path, early):
     async def play() -> None:
-        lists, watches = None, list[asyncio.StreamWriter]()
+        watches = list[asyncio.StreamWriter]()
         lists = await discovery(watches)
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
         variables = config(
             tmp_path / "config.json",
-            listen=f"127.0.0.1:{port}",
-            discovery=f"127.0.0.1:{lists.sockets[0].getsockname()[1]}",
+            listen=f"127.0.0.1:{free_port()}",
+            discovery=f"127.0.0.1:{port_of(lists)}",
             settings=TOLD,
         )
         process = await asyncio.create_subprocess_exec(
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -218,6 +218,13 @@
         if more:
             self._ports.loop.call_soon(self._advance)  # others first: many requests may have come at once
 
+    def overdue(self) -> None:
+        """Its time is up: who has sent a part of a request is told so."""
+        if self.state is State.READING:
+            self.reject(408, "head-slow", "the request did not arrive in time")
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close; whoever waits for the answer is told that its client has gone."""
         if self.state is State.CLOSED:
@@ -278,8 +285,7 @@
     def _arrived(self) -> None:
         for _ in range(ACCEPT_MOST):
             if self.count >= self.most and not self._make_room():
-                self.accept(False)  # every one is owed an answer, or has just come: the queue waits
-                self.loop.call_later(LOOK_S / 2, self.accept, True)
+                self._wait()  # every one is owed an answer, or has just come
                 return
             try:
                 sock, _ = self._sock.accept()
@@ -287,8 +293,8 @@
                 return
             except OSError as error:
                 if error.errno in NO_DESCRIPTORS and not self._make_room():
-                    self.accept(False)
-                    self.loop.call_later(LOOK_S, self.accept, True)
+                    self._wait()
+                    return
                 if error.errno not in (*NO_DESCRIPTORS, errno.ECONNABORTED):
                     return
                 continue
@@ -303,17 +309,17 @@
             self.loop.add_reader(sock.fileno(), client.readable)
             client.readable()
 
+    def _wait(self) -> None:
+        """Leave the queue alone for a moment, or until a connection ends."""
+        self.accept(False)
+        self.loop.call_later(LOOK_S / 2, self.accept, True)
+
     def trim(self) -> None:
         """Close what is idle beyond what is worth keeping, the longest idle first."""
         idle = self.by_state[State.IDLE]
         most = self._room.keeps(self.clock(), self.busy)
         while len(idle) > most:
-            client = next(iter(idle))
-            if not sockets.silent(client.sock):
-                client.readable()
-            if client.state is State.IDLE:
-                self.counts["idle-beyond-use"] += 1
-                client.close()
+            self.counts["idle-beyond-use"] += self._unless_heard(next(iter(idle)), Client.close)
 
     def _make_room(self) -> bool:
         """Close whoever is silent longest; who has said something is read first."""
@@ -325,10 +331,7 @@
             for client in list(self.by_state[state]):
                 if state is State.FRESH and client.since > young:
                     break
-                if state is not State.LINGER and not sockets.silent(client.sock):
-                    client.readable()
-                if client.state is state:
-                    client.close()
+                self._unless_heard(client, Client.close)
                 if client.state is State.CLOSED:
                     self.counts["made-room"] += 1
                     return True
@@ -346,18 +349,19 @@
             for client in list(self.by_state[state]):
                 if now - client.since < most:
                     break
-                self._overdue(client, state)
+                self._unless_heard(client, Client.overdue)
         self.loop.call_later(LOOK_S, self._look)
 
-    def _overdue(self, client: Client, state: State) -> None:
-        if state is not State.LINGER and state is not State.WRITING and not sockets.silent(client.sock):
+    @staticmethod
+    def _unless_heard(client: Client, end: Callable[[Client], None]) -> bool:
+        """End a connection unless what has come on it, which is read first, takes it on; whether it was ended."""
+        state = client.state
+        if state not in (State.LINGER, State.WRITING) and not sockets.silent(client.sock):
             client.readable()
         if client.state is not state:
-            return
-        if state is State.READING:
-            client.reject(408, "head-slow", "the request did not arrive in time")
-        else:
-            client.close()
+            return False
+        end(client)
+        return True
 
     @property
     def busy(self) -> int:
@@ -367,7 +371,4 @@
     def hang_up(self) -> None:
         """Close what is between requests."""
         for client in list(self.by_state[State.IDLE]):
-            if not sockets.silent(client.sock):
-                client.readable()
-            if client.state is State.IDLE:
-                client.close()
+            self._unless_heard(client, Client.close)
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -58,7 +58,6 @@
         self._timer: asyncio.TimerHandle | None = None
         self.counts: Counter[str] = Counter()
         self.places: dict[str, Place] = {}
-        self._states: dict[str, NodeState] = {}
         self._started: dict[tuple[str, float], float] = {}
         free = max(32, told.limits.sockets - RESERVE)
         clients = int(free * CLIENT_PART)
@@ -194,7 +193,7 @@
     def _listed(self, news: wire.Listing, kind: ListKind) -> None:
         now, unix = self.clock(), time.time() * 1000
         if kind is not ListKind.CHANGES:
-            self.places, self._states = {}, {}
+            self.places = {}
         nodes = []
         for entry in news.entries:
             place = (entry.id, entry.address)
@@ -203,9 +202,8 @@
                 self.stores.forget(before)
             if entry.state is NodeState.GONE:
                 self.places.pop(entry.id, None)
-                self._states.pop(entry.id, None)
             else:
-                self.places[entry.id], self._states[entry.id] = place, entry.state
+                self.places[entry.id] = place
             nodes.append(
                 api.Node(entry.id, entry.state, entry.shard, entry.zone, self._since(entry, now, unix))
             )
--- a/winchdyke/platform/stores.py
+++ b/winchdyke/platform/stores.py
@@ -118,8 +118,6 @@
             if self._write():
                 self._arm(self.end)
                 return
-            if self.ended:
-                return
         self._dial()
 
     def _dial(self) -> None:
@@ -142,19 +140,19 @@
         self._timer = self._stores.loop.call_at(at / 1000, self._due)
 
     def _due(self) -> None:
-        link = self._link
+        link, at = self._link, self._at
         assert link is not None
         if not link.up and sockets.connected(link.sock):
             self.writable()
         elif link.up:
             # Guards against calling silent a store whose answer lies in the socket: the process was late, not the store.
             self.readable()
-        if self.ended or self._stores.clock() < self._at:
+        if self.ended or self._at != at:  # it has come up just now: it has its whole time
             return
         if self._written:
             self._finish(wire.Told(Outcome.TIMED_OUT))
         else:
-            late = not link.up and self._at < self.end
+            late = not link.up and at < self.end
             self._finish(wire.Told(Outcome.DIAL_FAILED if late else Outcome.UNSENT))
 
     def cancel(self) -> None:
@@ -307,8 +305,8 @@
         connect_ms: float,
         idle_ms: float,
         most: int,
-        load_fields: tuple[str, ...] = (),
-        memory_mb: float = 64.0,
+        load_fields: tuple[str, ...],
+        memory_mb: float,
     ) -> None:
         # An answer is read whole before any of it is passed on. Stores send more than the protocol's 64 KiB at times: what
         # bounds an answer, and all that are being read, is this machine's memory.
