A gateway told to stop serves on until its end draws near, and answers all by then

Checked: a gateway is back some 4.7 s after SIGTERM whenever it ended, so to end at 0.7 s serves nobody; requests have 15 to 25 s here, and the end comes after 3.7 s, so a stop that waits for the last answer never comes to its end. At fault: HANG_UP_S and COMING_S in platform/service.py, which ended connections at 0.45 s and then waited without bound, and _take, which let requests outlast the process.

Change: platform/leaving.py derives the stop's times from the longest deadline and the platform's figures; kept connections serve until 0.9 s before the earliest end, new requests get what time is left, all that is open is answered 0.4 s before it. Refused where nothing was sent, failed where an attempt may have run.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from winchdyke.http1 import ClientSide, Need, ProtocolError, ServerSide
 from winchdyke.interface import Outcome
 from winchdyke.platform import environment, wire
+from winchdyke.platform.leaving import leaving
 from winchdyke.platform.room import HALF_MS, LEAST, TIMES, Room
 
 TOLD = {
@@ -251,3 +252,15 @@
     assert room.keeps(10.0, 40) == LEAST + TIMES * 40
     assert room.keeps(10.0 + HALF_MS, 0) == LEAST + TIMES * 20, "not forgotten at once"
     assert room.keeps(10.0 + 20 * HALF_MS, 3) == LEAST + TIMES * 3
+
+
+@pytest.mark.parametrize(
+    "longest, earliest", [(480.0, 1180.0), (2000.0, 2700.0), (3000.0, 3700.0), (15000.0, 3700.0)]
+)
+def test_a_stop_answers_all_before_the_earliest_end_whatever_the_deadlines(longest, earliest):
+    """The platform may end the process so long after SIGTERM; what came later than 0.7 s after it and is open is lost."""
+    now = 5000.0
+    times = leaving(now, longest)
+    assert now <= times.last_call <= times.answer_by < now + earliest - 300.0
+    assert times.last_call <= now + earliest - 900.0 or times.last_call == now
+    assert times.end >= now + 400.0  # new connections come until then
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -289,14 +289,21 @@
         self._see()
         self.post(api.NodeList(api.ListKind.CACHED, tuple(self.nodes.values())))
 
-    def _answer(self, ticket: Ticket, why: str) -> None:
+    def _answer(self, ticket: Ticket, why: str, action: api.Refuse | api.Fail | None = None) -> None:
         del self.tickets[ticket.id]
         ticket.closed, ticket.fault = True, why
         ticket.actions.clear()
-        ticket.tell(api.Fail(ticket.id))
+        ticket.tell(action or api.Fail(ticket.id))
         if ticket.on_cancel is not None:
             ticket.on_cancel(-1)
 
+    def answer_all(self, why: str) -> None:
+        """Answer all that is held, whatever the scheduler would say, and call off its attempts: the process ends."""
+        for ticket in list(self.tickets.values()):
+            self.counts[why] += 1
+            self._answer(ticket, why, api.Fail(ticket.id) if ticket.attempts else api.Refuse(ticket.id))
+            self.post(api.ClientGone(ticket.id))
+
     def answer_overdue(self, now: float) -> None:
         """Answer what is held with no attempt out past its time: a scheduler that says nothing, whatever the cause."""
         for ticket in [t for t in self.tickets.values() if now > t.end + OVERDUE_MS and not t.attempts_out]:
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -173,7 +173,7 @@
         if self.state is not State.OPEN:
             return
         self.on_gone = None
-        self.closing = self.closing or self._ports.stopping
+        self.closing = self.closing or self._ports.closing
         if self.closing:
             headers = [*headers, (b"connection", b"close")]
         codec = self._codec
@@ -255,7 +255,9 @@
         most: int,
     ) -> None:
         self.loop, self.clock, self.reader, self.take, self.most = loop, clock, reader, take, most
-        self._sock, self.stopping, self._accepting = sock, False, False
+        self._sock, self._accepting = sock, False
+        self.closing = False  # every answer says that its connection ends
+        self.keep_idle = False  # no new ones will come in the place of what is ended
         # By state, each in the order of its coming there: who has been silent longest stands first.
         self.by_state: dict[State, dict[Client, None]] = {state: {} for state in State}
         self.count, self._room = 0, Room(clock())
@@ -316,6 +318,8 @@
 
     def trim(self) -> None:
         """Close what is idle beyond what is worth keeping, the longest idle first."""
+        if self.keep_idle:
+            return
         idle = self.by_state[State.IDLE]
         most = self._room.keeps(self.clock(), self.busy)
         while len(idle) > most:
@@ -346,6 +350,8 @@
             (State.LINGER, LINGER_MS),
             (State.WRITING, WRITE_MS),
         ):
+            if state is State.IDLE and self.keep_idle:
+                continue
             for client in list(self.by_state[state]):
                 if now - client.since < most:
                     break
--- /dev/null
+++ b/winchdyke/platform/leaving.py
@@ -0,0 +1,35 @@
+"""When a gateway that was told to stop says, ends and answers what. Pure: it takes times in ms and returns times in ms.
+
+The platform ends a gateway outright at the earliest so long after SIGTERM as its longest deadline, counted as 3 s where it
+is longer, and 0.7 s. It comes back at the same time whenever it ended by itself, so that to end early serves nobody; but what
+is open when the end comes is lost. New connections come for 0.4 s; clients use those they have while these stay open.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+COUNTED_MS, BEYOND_MS = (
+    3000.0,
+    700.0,
+)  # the platform's figures: the most of a deadline that counts, and what is added
+COMING_MS = 700.0  # until when connections may still come, and a while
+ANSWER_MS = 400.0  # all is answered so long before the earliest end: a late turn of the loop, and the way to the client
+LAST_CALL_MS = (
+    900.0  # connections are served as before until so long before it: half a second for what came last
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The times of one stop, on the clock that ``now`` was read from."""
+
+    last_call: float  # until then all goes on; from then on answers say close, and idle connections are ended
+    answer_by: float  # what is open then is answered, whatever has become of it
+    end: float  # not to end before this: a connection may stand in the queue
+
+
+def leaving(now: float, longest: float) -> Leaving:
+    """The times of a stop told at ``now``, where the longest deadline of any class is ``longest``."""
+    earliest = now + min(longest, COUNTED_MS) + BEYOND_MS
+    return Leaving(max(now, earliest - LAST_CALL_MS), max(now, earliest - ANSWER_MS), now + COMING_MS)
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -21,12 +21,12 @@
 from winchdyke.platform import environment, sockets, wire
 from winchdyke.platform.clients import BACKLOG, Client, Clients
 from winchdyke.platform.discovery import Follower
+from winchdyke.platform.leaving import Leaving, leaving
 from winchdyke.platform.stores import Attempt, Place, Stores
 
 RESERVE = 24  # descriptors for the standard streams, the loop, the listener and discovery
 CLIENT_PART = 0.7  # of the other descriptors; what is left is for stores
-COMING_S = 0.7  # after SIGTERM: until when connections may still come, and a while
-HANG_UP_S = 0.45  # after SIGTERM: connections between requests are ended
+STOP_LOOK_S = 0.02  # between looks at what is still open while stopping
 TELL_S = 10.0  # between lines of the log
 FAULTY_FILE_TRIES, FAULTY_FILE_S = 5, 0.2  # a file that is being replaced is read again
 
@@ -77,6 +77,7 @@
         self.clients = Clients(loop, self.clock, self._sock, wire.Reader(told.settings), self._take, clients)
         self.follower = Follower(loop, told.discovery, known.version, self._heard)
         self.over = loop.create_future()
+        self._leaving: Leaving | None = None
         self._lag, self._worst_lag = loop.time(), 0.0
         self._sweep()
         loop.call_later(TELL_S, self._tell_state)
@@ -117,6 +118,8 @@
             raise ProtocolError(409, "id-in-use", "a request with this Req-Id is open")
         now = self.clock()
         left = request.left_ms - max(0.0, now - came)
+        if self._leaving is not None:
+            left = min(left, self._leaving.answer_by - now)
         self.counts["taken"] += 1
         asked.request = dataclasses.replace(request, left_ms=left)
         call = Call(self, client, asked, now + left)
@@ -178,6 +181,7 @@
     def _final(self, call: Call, action: api.Refuse | api.Fail) -> None:
         up = self.clock() >= call.end
         status, outcome, reason = outcomes.final(action, call.last, up)
+        reason = call.fault or reason
         self.counts[f"{outcome}:{reason}"] += 1
         after = action.retry_after_ms if isinstance(action, api.Refuse) else 0.0
         status, headers, body = answers.error(status, outcome, reason, call.id, outcomes.REASONS[reason])
@@ -238,22 +242,28 @@
         self.follower.move(told.discovery)
 
     def stop(self) -> None:
-        """Answer what has come and what still comes, then end."""
-        if self.clients.stopping:
+        """Serve on while there is time, answer all that has come and still comes, then end."""
+        if self._leaving is not None:
             return
-        self.clients.stopping = True
+        longest = max((kind.deadline_ms for kind in self.told.settings.classes), default=0.0)
+        self._leaving = leaving(self.clock(), longest)
+        self.clients.keep_idle = True
         self.log.info("stopping", open=self.clients.busy)
-        self.loop.call_later(HANG_UP_S, self._hang_up)
-        self.loop.call_later(COMING_S, self._finish)
+        self._stop_on()
 
-    def _hang_up(self) -> None:
-        self.clients.hang_up()
-        if not self.over.done():
-            self.loop.call_later(0.05, self._hang_up)
-
-    def _finish(self) -> None:
-        if self.clients.busy or self.engine.tickets:
-            self.loop.call_later(0.02, self._finish)
+    def _stop_on(self) -> None:
+        assert self._leaving is not None
+        now = self.clock()
+        if now >= self._leaving.last_call:
+            self.clients.closing = True
+            self.clients.hang_up()
+        if now >= self._leaving.answer_by and self.engine.tickets:
+            # Guards against requests that the end of the process would lose, whatever holds them. It hurts what would have
+            # been served between here and the end, which nobody tells beforehand.
+            self.engine.answer_all("stopping")
+        done = self.clients.closing and now >= self._leaving.end
+        if not done or self.clients.busy or self.engine.tickets:
+            self.loop.call_later(STOP_LOOK_S, self._stop_on)
         elif not self.over.done():
             self.over.set_result(None)
 
