--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -61,7 +61,7 @@
     Mutant("budget window a third", P, "cfg, since = self.cfg, now - self.cfg.extra_window_ms", "cfg, since = self.cfg, now - self.cfg.extra_window_ms / 3"),
     Mutant("budget share tripled", P, "cfg.extra_share * len(self.taken)", "3 * cfg.extra_share * len(self.taken)"),
     Mutant("attempts of a request not counted", P, "spent = len(held.sent) >= self.cfg.max_attempts or now", "spent = now"),
-    Mutant("cold bound never asked", P, "if not node.bears(self.cfg, now, held.request.units, shard.flow):", "if False:"),
+    Mutant("cold bound never asked", P, "if not node.bears(self.cfg, now, held.request.units, shard.flow, self.sharers):", "if False:"),
     Mutant("cold credit never spent", P, "node.credit, node.phase = node.credit - request.units, self.random.random()", "pass"),
     Mutant("cold starts not heard of", P, "if entry.started_ms and entry.started_ms > view.born:", "if False:"),
     Mutant("cold bound by four times the flow", P, "COLD_PART = 0.75", "COLD_PART = 3.0"),
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -222,8 +222,8 @@
     assert len(asked) == 30
 
 
-def units_after_a_restart(gateways: int, served: bool) -> float:
-    """What one gateway sends within 5 s to a node that was gone for 10 s."""
+def units_after_a_restart(gateways: int, served: bool, hosts: int = 0) -> float:
+    """What one gateway sends within 5 s to a node that was gone for 10 s; ``hosts``: gateways of its volume, 0: all."""
     gateway = Gateway(gateways=gateways)
     gateway.nodes()
     for at in range(320):
@@ -233,7 +233,7 @@
             gateway.nodes(node("n0", 0, started=gateway.now), kind=api.ListKind.CHANGES)
             before = len(gateway.sends)
         if served or at >= 200:
-            gateway.ask(f"r{at}", key=f"k{at}")
+            gateway.ask(f"r{at}", key=f"k{at}", gateways=hosts or gateways)
         gateway.run(50.0)
         for held in list(gateway.scheduler.requests.values()):
             if held.out:
@@ -247,6 +247,43 @@
     assert units_after_a_restart(120, served=True) > 30
 
 
+def test_a_cold_node_is_sent_the_usual_part_of_volumes_that_come_this_way():
+    """Standing test, herd+mass 4127: gateways that had all just started kept a new node's room for 60 gateways that did not use
+    it; 13 of 14 units a second were refused for 18 s, at a node that answered the rest as fast as any."""
+    assert units_after_a_restart(120, served=False, hosts=1) >= 8 * units_after_a_restart(120, served=False)
+
+
+def test_a_cold_node_is_sent_more_the_more_it_serves_in_good_time(make):
+    """Standing test: what a node's first answers prove is used while it is cold; late ones prove nothing."""
+
+    def sent(latency: float) -> int:
+        one = make([node("n0", 0, started=1000.0)], gateways=6, warm_after_ms=100_000.0)
+        for number in range(400):
+            one.ask(f"r{number}", key=f"k{number}", units=1.0, gateways=6)
+            one.run(50.0)
+            for held in list(one.scheduler.requests.values()):
+                if held.out:
+                    one.end(held.request.id, Outcome.SERVED, latency_ms=latency)
+        return len(one.sends)
+
+    assert sent(10.0) > 2 * sent(900.0) > 0
+
+
+def test_an_even_part_of_a_cold_node_is_of_those_who_use_its_shard(make):
+    """Standing test: with 200 gateways of which some 20 use a shard, an even part for all of them is next to nothing."""
+
+    def part(shards: int, age: float) -> float:
+        one = make([node(f"n{at}", at) for at in range(50)], gateways=200)
+        for at in range(shards):
+            one.ask(f"r{at}", key=f"k{at}", shard=at)
+        one.run(age)
+        return one.scheduler.sharers
+
+    assert part(5, 10_000.0) == 200 * 1.5 * 6 / 50
+    assert part(50, 10_000.0) == 200
+    assert part(5, 0.0) == 200  # it has only just started: what it has not seen may be all
+
+
 def test_new_objects_are_trials_where_every_node_is_suspect(gateway):
     """With new objects alone nothing was sent to suspect nodes, and so none was ever well again."""
     for view in gateway.scheduler.nodes.values():
@@ -425,7 +462,8 @@
         one.nodes(node("n0", 0, started=one.now))
         while one.now < 5000.0:
             at = f"{one.now:.0f}"
-            one.give(*[request(f"{at}-{n}", units=2.0, key=f"{at}-{n}") for n in range(2)])
+            # The volume is said to come through all of them, as it does here.
+            one.give(*[request(f"{at}-{n}", units=2.0, key=f"{at}-{n}", gateways=gateways) for n in range(2)])
             one.run(50.0)
             for held in list(one.scheduler.requests.values()):
                 if held.out:
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -30,9 +30,13 @@
 TRIAL_MS, TRIAL_MAX_MS = 250.0, 2000.0  # first and longest gap between single requests to a suspect node
 COLD_PART = 0.75  # of the rule's multiple is used for the flow a shard had: its new node may be smaller
 COLD_BURST = 0.5  # of a window's cold units at once; the other part flows in evenly
+SHARERS = 1.5  # times the gateways that a shard has by this one's own count: shards differ, and some are yet to be seen
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
 WATCH_RETRY_MS, WATCH_MAX_MS = 500.0, 8000.0  # after a failed list call, doubling: one service serves all
 RATE_MS, FLOW_MS = 1500.0, 15000.0  # half-lives: near the second that plans count in; of a shard's flow
+PROOF_MS = (
+    5000.0  # half-life of what a cold node has served; also the age at which a gateway has seen its shards
+)
 
 
 class Window:
@@ -116,6 +120,7 @@
         self.cfg, self.plan, self.at, self.gateways = cfg, plan, now, 1
         self.own = self.metered = self.total = 0.0  # units a second: sent now, when the meter ran, everywhere
         self.told, self.part = -1e18, 1.0
+        self.shards = set[int]()  # that it was asked for at, here
         # Both stores begin empty: a gateway that was killed cannot know what it or others just spent.
         self.reserve = self.limit = 0.0
 
@@ -169,14 +174,20 @@
         self.restarted = False  # a failed connection was seen since
         self.gone = False  # no list names it any more
         self.trial = self.gap = self.credit = 0.0
+        self.proved, self.proved_at = 0.0, now  # units that it served in good time while cold, fading
         self.phase = 1.0  # of a request that overdraws the credit: the part of it to be saved up first
         self.credit_at = now
 
     def start(self, born: float, now: float, phase: float) -> None:
         """Be cold; what others sent a moment ago is not known, so nothing is saved up."""
         self.born, self.credit, self.credit_at, self.lost, self.phase = born, 0.0, now, None, phase
+        self.proved = 0.0
 
-    def bears(self, cfg: api.Settings, now: float, units: float, flow: float) -> bool:
+    def prove(self, now: float, units: float) -> None:
+        self.proved = self.proved * 0.5 ** ((now - self.proved_at) / PROOF_MS) + units
+        self.proved_at = now
+
+    def bears(self, cfg: api.Settings, now: float, units: float, flow: float, sharers: float) -> bool:
         """Whether a node may be sent so much: a cold one has this gateway's part of the rule's units."""
         age = max(0.0, now - self.born)
         if not cfg.fall_window_ms or age >= cfg.warm_after_ms:
@@ -184,10 +195,13 @@
         able = cfg.cold_from + (1 - cfg.cold_from) * age / cfg.warm_after_ms
         # Guards against power that stands idle long after it is back: an even part of the stated units is
         # next to nothing where few of many gateways use the node. What each was served there adds up to no
-        # more than its shard could do. It hurts where the successor is less than half as strong.
-        learnt = COLD_PART * cfg.fall_multiple * flow * cfg.fall_window_ms / 1000
-        part = able * max(cfg.cold_units / cfg.gateways / cfg.cold_from, learnt)
-        grown = part * (1 - COLD_BURST) * (now - self.credit_at) / cfg.fall_window_ms
+        # more than its shard could do, and what the node itself served in good time to no more than it can
+        # do now. It hurts where the successor is less than half as strong.
+        proved: float = self.proved * 0.5 ** ((now - self.proved_at) / PROOF_MS) * 0.693 * 1000 / PROOF_MS
+        learnt = COLD_PART * cfg.fall_multiple * max(able * flow, proved) * cfg.fall_window_ms / 1000
+        even = able * cfg.cold_units / sharers / cfg.cold_from
+        part = max(even, learnt)
+        grown = max(even * (1 - COLD_BURST), learnt) * (now - self.credit_at) / cfg.fall_window_ms
         # One larger than the part overdraws, at a moment spread over the time that the part needs for it, or
         # all gateways that hear of a start would do so at once.
         need = min(units, max(part * COLD_BURST, self.phase * units))
@@ -215,6 +229,7 @@
     def __init__(self) -> None:
         self.nodes, self.queue = dict[str, NodeView](), dict[str, Held]()
         self.codels = dict[str, CoDel]()
+        self.volumes = dict[str, Volume]()  # that were asked for here
         self.bare: float | None = -1e18  # since when it has no ready node
         self.units = self.span = self.at = (
             0.0  # served to this gateway by warm nodes, and in what time; fading
@@ -228,8 +243,11 @@
 
     @property
     def flow(self) -> float:
-        """Units a second that this gateway was served; over a short time only a part of it counts."""
-        return 1000 * self.units / max(self.span, FLOW_MS / 3)
+        """Units a second that this gateway was served, over a short time only a part of it; or its usual part."""
+        # Guards against cold nodes that nobody uses because nobody has used their shards yet: gateways that have
+        # just started. It hurts where the usual rates are more than the nodes were made for.
+        usual = sum(v.plan.usual_rate / v.gateways / len(v.shards) for v in self.volumes.values())
+        return max(usual, 1000 * self.units / max(self.span, FLOW_MS / 3))
 
     def node(self) -> NodeView | None:
         """The node that serves it now; of several, the one that came up last."""
@@ -344,6 +362,9 @@
             best = min(two, key=lambda n: (n.born > warm, len(n.out) / n.window.size), default=None)
             held.shard = best.shard if best else -1
         shard = self.shards[held.shard]
+        if held.request.shard >= 0:
+            shard.volumes[held.request.volume] = held.volume
+            held.volume.shards.add(held.request.shard)
         shard.queue[held.request.id] = held
         for node in shard.nodes.values():
             node.window.share(held.request.gateways, self.cfg.gateways)
@@ -397,6 +418,8 @@
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             calm = [NODE_PART * k.aim_ms / self.cost[k.name] / self.cfg.mean_units for k in self.cfg.classes]
             node.window.step(self.now, min(calm))
+            if not late and node.window.short <= SURE * min(calm):
+                node.prove(self.now, units)
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
@@ -529,6 +552,16 @@
         may = any(node.ready and held.may_go_to(node, now) for node in shard.nodes.values())
         return spent or stale or not may
 
+    @property
+    def sharers(self) -> float:
+        """How many gateways may use one shard, by how many shards this one uses."""
+        # Guards against hundreds of gateways that each keep an even part of a cold node for all others, few of
+        # which use it. It hurts at a shard that far more of them use than the usual one.
+        stands = [bool(shard.volumes) for shard in self.shards.values() if shard.nodes]
+        unseen = max(0.0, 1 - (self.now - self.began) / (FLOW_MS / 3))
+        used = (sum(stands) + 1) / max(1, len(stands)) + unseen
+        return max(1.0, self.cfg.gateways * min(1.0, SHARERS * used))
+
     def dispatch(self, shard: Shard) -> None:
         """Send the most valuable held requests of a shard while its node has room."""
         queue, node, now = shard.queue, shard.node(), self.now
@@ -541,7 +574,7 @@
             return
         for held in sorted(queue.values(), key=lambda h: (-self.value(h, node), h.aim)):
             if node.room(now, held, self.shares) and self.eligible(held, node):
-                if not node.bears(self.cfg, now, held.request.units, shard.flow):
+                if not node.bears(self.cfg, now, held.request.units, shard.flow, self.sharers):
                     return
                 self.send(held, node)
 
