--- /dev/null
+++ b/tests/test_fleet_members.py
@@ -0,0 +1,494 @@
+"""Membership in virtual time: real machines on a network that loses, delays, cuts and copies. Each hard case once."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from winchdyke.fleet import wire
+from winchdyke.fleet.members import machine as m
+from winchdyke.fleet.members.bounds import Bounds
+from winchdyke.fleet.members.machine import Machine, Own
+from winchdyke.fleet.wire import Entry, Envelope, Kind, State
+from winchdyke.model.fleet import Fleet, Links
+
+
+def settled(members: int, seed: int = 1, **more: object) -> Fleet:
+    """A fleet whose views agree."""
+    fleet = Fleet(members, seed, **more)  # type: ignore[arg-type]
+    fleet.run(1500.0)
+    assert fleet.until_agreed(20_000.0) is not None, fleet.differ()
+    return fleet
+
+
+def said(fleet: Fleet, since: float, state: str, member: str = "") -> set[tuple[str, str]]:
+    """(viewer, member) of views that turned to a state."""
+    return {
+        (t.viewer, t.member)
+        for t in fleet.told
+        if t.at >= since and t.state == state and member in ("", t.member)
+    }
+
+
+def links(fleet: Fleet, viewer: str, member: str) -> str:
+    """How a viewer says that it and a member hear each other."""
+    view = fleet.lives[viewer].machine.view(fleet.now)
+    return next(seen.link for seen in view.members if seen.name == member)
+
+
+def dead_for(fleet: Fleet, since: float) -> float:
+    """The longest time for which a view held a member dead whose process ran all the while."""
+    longest, began = 0.0, dict[tuple[str, str], float]()
+    for told in [t for t in fleet.told if t.at >= since]:
+        key = told.viewer, told.member
+        if told.state == "dead" and told.member in fleet.lives:
+            began[key] = told.at
+        elif key in began:
+            longest = max(longest, told.at - began.pop(key))
+    return max([longest, *(fleet.now - at for at in began.values())])
+
+
+@pytest.mark.parametrize("members", [2, 3, 8, 24])
+def test_a_killed_member_is_dead_in_every_view_within_the_stated_time(members):
+    fleet = settled(members)
+    fleet.kill("g1")
+    took = fleet.until_agreed(60_000.0)
+    assert took is not None and took <= fleet.bounds.detected(members)
+
+
+def test_killed_and_back_within_one_probe_is_a_new_life_and_no_death():
+    fleet = settled(8)
+    since, life = fleet.now, fleet.lives["g3"].machine.life
+    fleet.kill("g3")
+    fleet.at(fleet.now + 200.0, lambda: fleet.start("g3"))
+    fleet.run(fleet.now + 15_000.0)
+    assert fleet.agreed() and not said(fleet, since, "dead")
+    assert fleet.lives["g3"].machine.life > life
+
+
+def test_one_deaf_member_dies_in_no_view_and_both_ends_know_their_link():
+    """A hears B, B does not hear A: straight words pass one way alone, and a third keeps both alive."""
+    fleet = settled(3)
+    since = fleet.now
+    fleet.links.cut = {("g0", "g1")}
+    fleet.run(since + 60_000.0)
+    assert not said(fleet, since, "dead") and not said(fleet, since, "suspect")
+    assert links(fleet, "g0", "g1") == "deaf" and links(fleet, "g1", "g0") == "mute"
+    fleet.links.cut = set()
+    fleet.run(fleet.now + 10_000.0)
+    assert links(fleet, "g0", "g1") == links(fleet, "g1", "g0") == "both"
+
+
+def test_two_deaf_to_each_other_are_kept_by_a_third():
+    fleet = settled(3)
+    since = fleet.now
+    fleet.links.cut = {("g0", "g1"), ("g1", "g0")}
+    fleet.run(since + 60_000.0)
+    assert not said(fleet, since, "dead") and links(fleet, "g0", "g1") == "cut"
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_fifth_of_all_datagrams_lost_for_ten_minutes_kills_nobody(seed):
+    fleet = settled(8, seed)
+    since = fleet.now
+    fleet.links.loss = 0.2
+    fleet.run(since + 600_000.0)
+    assert not said(fleet, since, "dead")
+
+
+def test_datagrams_gone_and_streams_whole_kills_nobody_and_the_other_way_neither():
+    fleet = settled(5)
+    since = fleet.now
+    fleet.links.datagrams = False
+    fleet.run(since + 60_000.0)
+    assert not said(fleet, since, "dead")
+    fleet.links.datagrams, fleet.links.streams = True, False
+    fleet.run(fleet.now + 60_000.0)
+    assert not said(fleet, since, "dead")
+    fleet.links.streams, fleet.links.large_lost = True, 300
+    fleet.run(fleet.now + 60_000.0)
+    assert not said(fleet, since, "dead")
+
+
+def test_copies_delay_and_a_tail_change_nothing():
+    fleet = settled(8)
+    since = fleet.now
+    fleet.links.copies, fleet.links.delay, fleet.links.tail = 0.3, (5.0, 20.0), 0.02
+    fleet.run(since + 120_000.0)
+    assert not said(fleet, since, "dead")
+    assert sum(life.machine.counts["replay"] for life in fleet.lives.values()) > 100
+
+
+def test_a_member_that_is_stopped_for_3_s_every_10_s_is_never_dead_for_long():
+    fleet = settled(8)
+    since = fleet.now
+    for n in range(12):
+        fleet.at(since + 10_000.0 * n, lambda: fleet.pause("g2", 3000.0))
+    fleet.run(since + 120_000.0)
+    assert not said(fleet, since, "dead")  # 3 s are less than any suspicion takes
+    others = [t for t in fleet.told if t.at >= since and t.viewer == "g2" and t.state in ("suspect", "dead")]
+    assert not [t for t in others if t.state == "dead"]
+
+
+@pytest.mark.parametrize("length", [50.0, 1000.0, 5000.0, 60_000.0])
+def test_who_was_stopped_judges_nobody_by_what_it_missed(length):
+    fleet = settled(8)
+    since = fleet.now
+    fleet.pause("g4", length)
+    fleet.run(since + length + 20_000.0)
+    assert not [t for t in fleet.told if t.at >= since and t.viewer == "g4" and t.state == "dead"]
+    assert fleet.agreed(), fleet.differ()
+    assert dead_for(fleet, since) <= length
+
+
+def test_all_but_one_stopped_for_5_s():
+    fleet = settled(8)
+    since = fleet.now
+    for name in fleet.names[1:]:
+        fleet.pause(name, 5000.0)
+    fleet.run(since + 5000.0)
+    assert fleet.until_agreed(fleet.bounds.agreed(8)) is not None, fleet.differ()
+
+
+def test_a_zone_that_is_cut_off_is_one_event_on_both_sides_and_meets_again_without_a_storm():
+    fleet = settled(24, zones=2)
+    since, quiet = fleet.now, max(fleet.rate(fleet.now - 5000, fleet.now))
+    sides = [{n for n in fleet.names if fleet.zones[n] == zone} for zone in ("zone-0", "zone-1")]
+    fleet.links.cut = {(a, b) for a in sides[0] for b in sides[1]} | {
+        (b, a) for a in sides[0] for b in sides[1]
+    }
+    fleet.run(since + 20_000.0)
+    for mine, other in (("g0", 1), ("g1", 0)):
+        event = fleet.lives[mine].machine.view(fleet.now).event
+        assert event is not None and event.zone == f"zone-{other}", event
+        assert set(event.members) == sides[other] and "zone" in event.text
+    fleet.links.cut = set()
+    healed = fleet.now
+    assert fleet.until_agreed(fleet.bounds.agreed(24)) is not None, fleet.differ()[:3]
+    fleet.run(fleet.now + 5000.0)
+    assert max(fleet.rate(healed, fleet.now)) < 20 * quiet + 20_000
+    assert fleet.lives["g0"].machine.view(fleet.now).event is None
+
+
+def test_seven_in_ten_killed_at_once_are_known_in_time():
+    fleet = settled(20)
+    for name in fleet.names[6:]:
+        fleet.kill(name)
+    since = fleet.now
+    # Helpers are dead too, which those that are left may take for their own slowness: up to nine times as slow a round.
+    took = fleet.until_agreed(120_000.0)
+    assert took is not None and took <= (fleet.bounds.health_most + 1) * fleet.bounds.detected(20)
+    event = fleet.lives["g0"].machine.view(fleet.now).event
+    assert event is not None and len(event.members) == 14 and event.since >= since
+
+
+def test_a_rolling_restart_a_tenth_at_a_time_is_followed():
+    fleet = settled(20)
+    for n in range(10):
+        for name in fleet.names[2 * n : 2 * n + 2]:
+            fleet.at(fleet.now + 2000.0 * n, lambda name=name: fleet.leave(name))
+            fleet.at(fleet.now + 2000.0 * n + 1000.0, lambda name=name: fleet.start(name))
+    fleet.run(fleet.now + 20_000.0)
+    assert fleet.until_agreed(fleet.bounds.agreed(20)) is not None, fleet.differ()[:3]
+
+
+def test_all_restart_at_once():
+    fleet = settled(8)
+    for name in fleet.names:
+        fleet.kill(name)
+    for name in fleet.names:
+        fleet.start(name)
+    assert fleet.until_agreed(fleet.bounds.agreed(8)) is not None, fleet.differ()
+
+
+def test_a_leave_is_heard_before_the_process_ends():
+    fleet = settled(8)
+    fleet.leave("g5")
+    fleet.run(fleet.now + 5000.0)
+    views = [life.machine.view(fleet.now) for life in fleet.lives.values()]
+    assert all(next(s.state for s in view.members if s.name == "g5") == "left" for view in views)
+
+
+def test_a_start_at_which_no_seed_answers_tries_on_at_a_bounded_rate():
+    fleet = Fleet(2, 1, links=Links(datagrams=False, streams=False))
+    fleet.run(120_000.0)
+    machine = fleet.lives["g0"].machine
+    assert machine.view(fleet.now).alone and machine.counts["exchange-failed"] <= 120 / (0.5 * 10) + 6
+    fleet.links = Links()
+    assert fleet.until_agreed(2 * fleet.bounds.retry_most) is not None
+
+
+def test_a_clock_that_steps_back_between_two_lives_does_not_keep_the_later_one_out():
+    fleet = settled(4)
+    fleet.kill("g1")
+    fleet.now += 100.0
+    fleet.start("g1", clock=-900_000.0)
+    assert fleet.until_agreed(30_000.0) is not None, fleet.differ()
+    assert any(note.code == "renewed" for _, name, note in fleet.notes if name == "g1")
+
+
+def machine(bounds: Bounds | None = None, **more: object) -> Machine:
+    """A member by itself."""
+    own = Own(
+        **{"name": "a", "address": "at-a", "zone": "z", "index": 0, "life": 10 << 16, "gateways": 4, **more}
+    )  # type: ignore[arg-type]
+    return Machine(own, bounds or Bounds(), 5, 0.0)
+
+
+def entry(name: str, state: State = State.ALIVE, life: int = 1, incarnation: int = 0, by: str = "") -> Entry:
+    return Entry(name, f"at-{name}", "z", 1, life, incarnation, int(state), by)
+
+
+class Peer:
+    """Somebody that speaks to a machine by hand."""
+
+    def __init__(self, to: Machine, name: str = "b", life: int = 1) -> None:
+        self.to, self.name, self.life, self.counter, self.now = to, name, life, 0, 0.0
+
+    def say(
+        self, kind: Kind = Kind.PING, number: int = 1, entries: list[Entry] | None = None, **more: object
+    ) -> list[m.Action]:
+        self.counter += 1
+        mine = [entry(self.name, life=self.life), *(entries or [])]
+        fields = {
+            "sender": self.name,
+            "life": self.life,
+            "counter": self.counter,
+            "to": "a",
+            "kind": int(kind),
+        }
+        message = Envelope(**{**fields, "number": number, "entries": mine, **more})  # type: ignore[arg-type]
+        return self.to.handle(self.now, [m.Arrived(message, f"at-{self.name}")])
+
+    def state(self, name: str) -> State:
+        return self.to.book.members[name].state
+
+    def pass_time(self, until: float) -> list[m.Action]:
+        told = []
+        while self.now < until:
+            self.now = min(until, self.now + 50.0)
+            told += self.to.handle(self.now, [])
+        return told
+
+
+def test_a_refutation_that_is_lost_five_times_still_clears_the_name():
+    one = machine()
+    peer = Peer(one)
+    for _ in range(5):
+        told = peer.say(entries=[entry("a", State.SUSPECT, 10 << 16, one.incarnation, "b")])
+        mine = [
+            e
+            for action in told
+            if isinstance(action, m.Tell)
+            for e in action.message.entries
+            if e.name == "a"
+        ]
+        assert mine and all(e.incarnation == one.incarnation for e in mine)  # in every message it sends
+    assert one.incarnation == 5 and one.counts["refuted"] == 5
+
+
+def test_a_late_accusation_of_an_earlier_life_does_nothing():
+    one = machine()
+    peer = Peer(one)
+    peer.say(entries=[entry("a", State.DEAD, (10 << 16) - 1, 7, "b"), entry("c", life=9)])
+    assert one.incarnation == 0 and one.counts["accused-earlier-life"] == 1
+    peer.say(entries=[entry("c", State.DEAD, 8, 99, "b")])
+    assert peer.state("c") is State.ALIVE
+
+
+def test_counts_and_incarnations_at_their_ends_begin_a_later_life():
+    one = machine()
+    peer = Peer(one)
+    life = one.life
+    peer.say(entries=[entry("a", State.SUSPECT, life, wire.NUMBER_MOST, "b")])
+    assert one.life > life and one.incarnation == 0
+    life, one.counter = one.life, wire.NUMBER_MOST
+    told = peer.say()
+    assert one.life > life
+    assert all(action.message.counter < 100 for action in told if isinstance(action, m.Tell))
+
+
+def test_who_answers_probes_for_a_dead_member_does_not_keep_it():
+    """An address that passed to another, or a member that takes others' words: an answer counts from the one who was asked."""
+    one = machine(Bounds(helpers=0))
+    peer = Peer(one)
+    peer.say(entries=[entry("c")])
+    for _ in range(200):
+        for action in peer.pass_time(peer.now + 100.0):
+            if isinstance(action, m.Tell) and action.message.kind == Kind.PING:
+                peer.say(Kind.ACK, action.message.number)  # b, whoever was asked
+    assert peer.state("c") is State.DEAD and peer.state("b") is State.ALIVE
+
+
+def test_a_datagram_for_another_is_not_answered():
+    one = machine()
+    told = Peer(one).say(to="x")
+    assert one.counts["misaddressed"] == 1 and not [
+        a for a in told if isinstance(a, m.Tell) and a.message.kind == Kind.ACK
+    ]
+
+
+def test_a_replay_does_nothing():
+    one = machine()
+    peer = Peer(one)
+    peer.say(entries=[entry("c")])
+    peer.counter = 0
+    peer.say(entries=[entry("d")])
+    assert "d" not in one.book.members and one.counts["replay"] == 1
+
+
+def test_a_flood_of_valid_datagrams_is_dropped_past_its_rate():
+    one = machine()
+    peer = Peer(one)
+    answered = sum(isinstance(action, m.Tell) for _ in range(3000) for action in peer.say())
+    assert answered < 600 and one.counts["flood"] > 2000
+
+
+def test_hearsay_of_a_death_is_not_believed_of_whom_was_just_heard_and_it_is_told():
+    one = machine()
+    peer, liar = Peer(one), Peer(one, "l")
+    peer.say()
+    liar.say(entries=[entry("b", State.DEAD, 1, 0, "l")])
+    assert peer.state("b") is State.SUSPECT  # a suspicion, which runs only as long as b says nothing
+    told = peer.say()
+    accused = [e for a in told if isinstance(a, m.Tell) for e in a.message.entries if e.name == "b"]
+    assert accused and accused[0].state == State.SUSPECT
+    for _ in range(40):
+        peer.pass_time(peer.now + 500.0)
+        peer.say()
+    assert peer.state("b") is State.ALIVE
+
+
+def test_two_processes_with_one_name_the_later_stays_and_the_earlier_says_so_and_leaves():
+    one = machine()
+    peer = Peer(one)
+    other = Entry("a", "at-elsewhere", "z", 0, 99 << 16, 0, int(State.ALIVE), "")
+    told = peer.say(entries=[other])
+    asked = [a for a in told if isinstance(a, m.Tell) and a.address == "at-elsewhere"]
+    assert len(asked) == 1  # is it there? a word alone may be of a process before this one
+    twin = Peer(one, "a", 99 << 16)
+    told = twin.say(Kind.ACK, asked[0].message.number)
+    assert [a for a in told if isinstance(a, m.Leave)] and one.left
+    assert not peer.say()  # nothing is done after it
+
+
+def test_a_later_life_of_this_name_that_does_not_answer_was_before_this_one():
+    one = machine()
+    peer = Peer(one)
+    peer.say(entries=[Entry("a", "at-elsewhere", "z", 0, 99 << 16, 0, int(State.ALIVE), "")])
+    peer.pass_time(5000.0)
+    assert one.life > 99 << 16 and not one.left
+
+
+def test_an_index_that_the_settings_do_not_know_is_said_and_shown():
+    one = machine()
+    told = Peer(one).say(entries=[Entry("x", "at-x", "z", 9, 1, 0, 0, "")])
+    assert "index-unknown" in [a.code for a in told if isinstance(a, m.Note)]
+    assert next(seen.known for seen in one.view(0.0).members if seen.name == "x") is False
+
+
+def test_a_member_that_moves_is_found_at_its_new_address_and_the_settings_word_wins():
+    one = machine(at=(("c", "by-settings"),))
+    peer = Peer(one)
+    peer.say(entries=[entry("c")])
+    peer.say(entries=[Entry("c", "at-new", "z", 1, 2, 0, 0, "")])
+    assert one.book.members["c"].entry.address == "at-new"
+    assert one._address(one.book.members["c"]) == "by-settings"
+
+
+def test_the_book_has_a_bound_and_says_when_it_is_reached():
+    one = machine(Bounds(members_most=10))
+    Peer(one).say(entries=[entry(f"x{n}") for n in range(30)])
+    assert len(one.book.members) == 10 and one.book.full == 21
+
+
+def test_the_dead_are_forgotten_in_the_end():
+    one = machine(Bounds(forget=60_000.0, helpers=0))
+    peer = Peer(one)
+    peer.say(entries=[entry("c", State.DEAD)])
+    peer.pass_time(70_000.0)
+    assert "c" not in one.book.members
+
+
+def test_two_hundred_and_fifty_members_of_which_fifty_flap_cost_each_some_kilobytes_a_second():
+    fleet = Fleet(250, 3, Bounds(exchange=60_000.0), start_ms=2000.0)
+    fleet.run(12_000.0)
+    for n in range(4):
+        for name in fleet.names[200:]:
+            fleet.at(12_000.0 + 2000.0 * n, lambda name=name: fleet.kill(name))
+            fleet.at(13_000.0 + 2000.0 * n, lambda name=name: fleet.start(name))
+    fleet.run(20_000.0)
+    rates = fleet.rate(12_000.0, 20_000.0)
+    assert sum(rates) / 250 < 40_000 and fleet.largest <= wire.DATAGRAM_MOST
+
+
+KINDS = ["kill", "pause", "cut", "loss", "leave"]
+TROUBLE = st.tuples(st.sampled_from(KINDS), st.integers(0, 4), st.integers(0, 4), st.floats(200, 6000))
+
+
+class Deafened(Machine):
+    """Refutes nothing."""
+
+    def _of_self(self, entry: Entry, teller: str) -> None:
+        pass
+
+
+class Lonely(Machine):
+    """Asks nobody to probe in its place."""
+
+    def _ask_others(self, probe: m._Probe) -> None:
+        pass
+
+
+class Sleepless(Machine):
+    """Does not look whether it slept."""
+
+    def _woke(self, late: float) -> None:
+        pass
+
+
+def test_without_each_defence_members_die_that_live():
+    """The judge of these tests is seen to fail: refutation, indirect probes, and the look at the own sleep, each taken out."""
+
+    def lost(make: type[Machine], trouble: str) -> float:
+        """ms for which a member that ran was dead in a view, at the longest; with pauses, whom the paused one suspects."""
+        fleet = settled(8, make=make)
+        since = fleet.now
+        if trouble == "pauses":
+            fleet.links.delay = (100.0, 50.0)
+            for n in range(10):
+                fleet.at(since + 20_150.0 * n, lambda: fleet.pause("g2", 13_000.0, forgets=True))
+        else:
+            few = ("g0", "g2", "g3", "g4") if trouble == "deaf" else ("g0", "g2", "g3", "g4", "g5")
+            fleet.links.cut = {(a, "g1") for a in few} | {("g1", a) for a in few}
+            fleet.links.loss = 0.0 if trouble == "deaf" else 0.35
+        fleet.run(since + 200_000.0)
+        if trouble == "pauses":
+            return float(len([pair for pair in said(fleet, since, "suspect") if pair[0] == "g2"]))
+        return dead_for(fleet, since)
+
+    assert lost(Machine, "deaf") == 0 < lost(Lonely, "deaf")
+    assert lost(Machine, "deaf and loss") < 15_000 < 60_000 < lost(Deafened, "deaf and loss")
+    assert lost(Machine, "pauses") == 0 < lost(Sleepless, "pauses")
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.integers(0, 10_000), st.lists(TROUBLE, max_size=8))
+def test_whatever_happened_views_agree_once_it_is_over(seed, troubles):
+    fleet = settled(5, seed)
+    for kind, one, other, length in troubles:
+        a, b = fleet.names[one], fleet.names[other]
+        if kind in ("kill", "leave"):
+            (fleet.kill if kind == "kill" else fleet.leave)(a)
+            fleet.at(fleet.now + length, lambda a=a: fleet.start(a))
+        elif kind == "pause":
+            fleet.pause(a, length)
+        elif kind == "cut":
+            fleet.links.cut = {*fleet.links.cut, (a, b)}
+        else:
+            fleet.links.loss = min(0.6, length / 10_000)
+        fleet.run(fleet.now + length / 2)
+    fleet.links = Links()
+    fleet.run(fleet.now + 6000.0)
+    assert fleet.until_agreed(fleet.bounds.agreed(5)) is not None, fleet.differ()
--- a/winchdyke/admin/client.py
+++ b/winchdyke/admin/client.py
@@ -56,9 +56,15 @@
 
     def call(self, **operation: Any) -> dict[str, Any]:
         """Ask for an operation; DeskError with the gateway's words."""
-        body = json.dumps(operation).encode()
+        return self._until_told(json.dumps(operation).encode(), "/v1/changes")
+
+    def fleet(self) -> dict[str, Any]:
+        """What it believes of the other gateways; DeskError with its words."""
+        return self._until_told(b"{}", "/v1/fleet")
+
+    def _until_told(self, body: bytes, path: str) -> dict[str, Any]:
         for left in range(TRIES - 1, -1, -1):
-            status, after, found = self._ask(body)
+            status, after, found = self._ask(body, path)
             if status == 200:
                 return found
             if status == 503 and after and left:
@@ -68,7 +74,7 @@
             raise DeskError(str(found.pop("error", "http")), text, found)
         raise AssertionError
 
-    def _ask(self, body: bytes) -> tuple[int, float, dict[str, Any]]:
+    def _ask(self, body: bytes, path: str) -> tuple[int, float, dict[str, Any]]:
         headers = {"content-type": "application/json"}
         if self._who:
             headers["winchdyke-who"] = self._who
@@ -77,10 +83,10 @@
 
             place = f"{self._connection.host}:{self._connection.port}"
             headers["host"] = place
-            message = Message("POST", f"http://{place}/v1/changes", headers)
+            message = Message("POST", f"http://{place}{path}", headers)
             sign(message, body, self._key)
         try:
-            self._connection.request("POST", "/v1/changes", body, headers)
+            self._connection.request("POST", path, body, headers)
             answer = self._connection.getresponse()
             data = answer.read()
         except (OSError, http.client.HTTPException) as error:
--- a/winchdyke/admin/keys.py
+++ b/winchdyke/admin/keys.py
@@ -81,6 +81,13 @@
         self.path = path
         self._keys = Watched(path, lambda path: {key.id: key for key in read(path)})
 
+    def good(self, now_ms: float) -> list[Key]:
+        """All keys that count now, in the file's order. KeysError where the file can't be used."""
+        try:
+            return [key for key in self._keys.get().values() if key.good(now_ms)]
+        except OSError as error:
+            raise KeysError(f"{self.path} can't be read: {error.strerror}") from error
+
     def find(self, name: str, now_ms: float) -> Key | None:
         """The key of an id that counts now. KeysError where the file can't be used: then nobody's does."""
         try:
--- a/winchdyke/admin/server.py
+++ b/winchdyke/admin/server.py
@@ -1,4 +1,5 @@
-"""The admin listener: one path, ``POST /v1/changes`` with an operation as JSON; ``GET /v1/changes`` tells where the gateway stands.
+"""The admin listener: ``POST /v1/changes`` with an operation as JSON; ``GET /v1/changes`` tells where the gateway stands, and
+``GET /v1/fleet`` what it believes of the other gateways.
 
 On a unix socket, whoever the system lets at it is let in (its owner and root), and named as the system names them. On TCP a request
 is let in where it is signed (:mod:`winchdyke.admin.signing`). Work on the trail is done beside the event loop, a little at a time:
@@ -13,7 +14,7 @@
 import stat
 import struct
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 import anyio.to_thread
@@ -28,7 +29,7 @@
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.http1 import Headers, ProtocolError, RequestHead
 
-PATH = b"/v1/changes"
+PATH, FLEET = b"/v1/changes", b"/v1/fleet"
 WHO = b"winchdyke-who"
 BODY = 16 << 20  # bytes of a request at the most
 BODY_S = 20.0  # for which one may take to arrive
@@ -107,12 +108,19 @@
     return [listener for listener in multi.listeners if isinstance(listener, SocketListener)]
 
 
+class Standing(Protocol):
+    """What can tell plain data about itself."""
+
+    def standing(self) -> dict[str, Any]:
+        """For JSON."""
+
+
 class Admin:
     """What answers on the admin listeners of one gateway."""
 
-    def __init__(self, settings: Settings, trail: Trail) -> None:
+    def __init__(self, settings: Settings, trail: Trail | None, fleet: Standing | None = None) -> None:
         self.connections = CONNECTIONS
-        self.trail, self._log = trail, structlog.get_logger("admin")
+        self.trail, self.fleet, self._log = trail, fleet, structlog.get_logger("admin")
         self._limiter = anyio.CapacityLimiter(AT_ONCE)
         self._guard: Any = None
         if settings.listen is not None:
@@ -144,8 +152,10 @@
     async def _answer(
         self, connection: ClientConnection, head: RequestHead
     ) -> tuple[int, dict[str, Any], Headers]:
-        if head.target.partition(b"?")[0] != PATH:
-            return 404, {"error": "not-found", "text": f"there is {PATH.decode()} here, and nothing else"}, []
+        path = head.target.partition(b"?")[0]
+        if path not in (PATH, FLEET):
+            text = f"there are {PATH.decode()} and {FLEET.decode()} here, and nothing else"
+            return 404, {"error": "not-found", "text": text}, []
         if head.method not in ("GET", "POST"):
             return 405, {"error": "method", "text": "GET or POST"}, [(b"allow", b"GET, POST")]
         if head.length is not None and head.length > BODY:
@@ -158,6 +168,16 @@
             connection.close_after = True
             self._log.warning("refused", code=refused.found["error"], peer=refused.peer)
             return refused.status, refused.found, refused.headers
+        if path == FLEET:
+            if self.fleet is None:
+                return (
+                    404,
+                    {"error": "no-fleet", "text": "this gateway knows no others; see fleet, listen"},
+                    [],
+                )
+            return 200, self.fleet.standing(), []
+        if self.trail is None:
+            return 404, {"error": "no-changes", "text": "no changes are kept here; see changes, folder"}, []
         try:
             operation = desk.read(body if head.method == "POST" else b'{"op": "standing"}')
             worker = desk.Desk(self.trail, who, origin)
--- a/winchdyke/config/crosscheck.py
+++ b/winchdyke/config/crosscheck.py
@@ -22,6 +22,7 @@
         named[kind][name] = keys
     _references(builder, named)
     _gateway(builder, named)
+    _fleet(builder, named)
     _classes(builder, named)
     _waits(builder, named)
     _plans(builder, named)
@@ -81,6 +82,26 @@
         seen.setdefault(address, name)
 
 
+def _fleet(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
+    fleet = named["fleet"].get("", {})
+    if not {"listen", "keys", "timeout", "interval", "advertise"} <= fleet.keys():
+        return  # told already
+    if fleet["listen"] is None:
+        if ("fleet", "") in builder.blocks or named["peer"]:
+            text = "there is a fleet or a peer, and no address to listen at: it is off"
+            builder.say("fleet", "", "listen", "off", text, "add listen = HOST:PORT", WARNING)
+        return
+    if not fleet["keys"]:
+        text = "is missing: what other gateways send is believed by its seal alone"
+        builder.say("fleet", "", "keys", "no-keys", text, "add keys = FILE; `winchdyke keys new` makes one")
+    if fleet["timeout"] * 2 > fleet["interval"]:
+        text = "leaves less than half of the interval to those who probe in its place"
+        builder.say("fleet", "", "timeout", "timeout-too-long", text, "write half of the interval, or less")
+    if not fleet["advertise"] and fleet["listen"].host in ("0.0.0.0", "::", ""):
+        text = f"is missing, and others can't reach {fleet['listen'].host}"
+        builder.say("fleet", "", "advertise", "no-address", text, "add advertise = HOST:PORT")
+
+
 def _classes(builder: Builder, named: dict[str, dict[str, dict[str, Any]]]) -> None:
     owner: dict[str, str] = {}
     show = Duration().show
--- a/winchdyke/config/loading.py
+++ b/winchdyke/config/loading.py
@@ -509,6 +509,8 @@
         changes=model.Changes(**values["changes", ""]),
         writeback=model.WriteBack(**values["writeback", ""]),
         admin=model.Admin(**values["admin", ""]),
+        fleet=model.Fleet(**{**values["fleet", ""], "seeds": values["fleet", ""]["seeds"] or ()}),
+        peers=tuple((name, keys["address"]) for name, keys in named("peer")),
         s3=model.S3(**values["s3", ""]),
         tls=model.Tls(**values["tls", ""]),
         limits=model.Limits(**values["limits", ""]),
--- a/winchdyke/config/meaning.py
+++ b/winchdyke/config/meaning.py
@@ -60,6 +60,7 @@
             "listen": config.admin.listen,
             "keys": config.admin.keys,
         },
+        ("fleet", ""): {key: getattr(config.fleet, key) for key in schema.BLOCKS["fleet"].keys},
         ("tls", ""): {key: getattr(config.tls, key) for key in schema.BLOCKS["tls"].keys},
         ("s3", ""): {key: getattr(config.s3, key) for key in schema.BLOCKS["s3"].keys},
         ("limits", ""): dataclasses.asdict(config.limits),
@@ -73,6 +74,8 @@
     }  # fmt: skip
     for name, address in config.listeners:
         values["listener", name] = {"address": address}
+    for name, address in config.peers:
+        values["peer", name] = {"address": address}
     for kind in config.kinds:
         rules = kind.rules
         values["class", rules.name] = {
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -87,6 +87,21 @@
     keys: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Membership among gateways; no ``listen``: none."""
+
+    listen: Listen | None = None
+    advertise: str = ""
+    seeds: tuple[Listen, ...] = ()
+    keys: str = ""
+    keep: str = ""
+    interval: float = 1000.0
+    timeout: float = 300.0
+    exchange: float = 30_000.0
+    forget: float = 600_000.0
+
+
 @dataclass(frozen=True, slots=True)
 class Tls:
     """Certificates of listeners; none where no certificate is given. ``on``: ``s3`` or ``all`` listeners of clients."""
@@ -217,6 +232,8 @@
     changes: Changes
     writeback: WriteBack
     admin: Admin
+    fleet: Fleet
+    peers: tuple[tuple[str, Listen], ...]
     s3: S3
     tls: Tls
     limits: Limits
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -139,6 +139,49 @@
             "keys": Key(t.Type(), '""', "A file of keys, readable by its owner alone; see `winchdyke keys`."),
         },
     ),
+    "fleet": Kind(
+        "Membership among gateways; none where no address is given. See docs/fleet.md.",
+        {
+            "listen": Key(
+                t.Address(),
+                NONE,
+                "Where other gateways' datagrams and exchanges come in: UDP and TCP, one port.",
+            ),
+            "advertise": Key(
+                t.Type(), '""', "HOST:PORT that others reach it at, where that is not `listen`."
+            ),
+            "seeds": Key(
+                t.Many("addresses", of=t.Address()),
+                NONE,
+                "Gateways that are asked for the others; several. Names are looked up at every try.",
+            ),
+            "keys": Key(
+                t.Type(),
+                '""',
+                "A file of keys, its owner's alone (`winchdyke keys new`); the first good one seals, all good ones open.",
+            ),
+            "keep": Key(t.Type(), '""', "A folder of its own where the members are kept for the next start."),
+            "interval": _time("1s", "Between probes, each of one member.", 50 * MS, 60 * S, zero=False),
+            "timeout": _time(
+                "300ms",
+                "For a direct answer; the rest of the interval is for indirect ones.",
+                MS,
+                30 * S,
+                zero=False,
+            ),
+            "exchange": _time(
+                "30s", "Between full exchanges with one member.", 100 * MS, 3600 * S, zero=False
+            ),
+            "forget": _time(
+                "10m", "How long the dead and those that left stay known.", S, 24 * 3600 * S, zero=False
+            ),
+        },
+    ),
+    "peer": Kind(
+        "Where a gateway is reached from here, by its name; it wins over what is heard of it.",
+        {"address": Key(t.Address(), None, "Its address for the fleet.")},
+        t.Type("name"),
+    ),
     "tls": Kind(
         "Certificates of the listeners that clients connect to; read anew when the files change.",
         {
--- a/winchdyke/days/judge.py
+++ b/winchdyke/days/judge.py
@@ -15,6 +15,7 @@
 from itertools import pairwise
 from typing import Any
 
+from winchdyke.days.members import Members
 from winchdyke.days.pressure import Gauge, Pressure
 from winchdyke.days.script import LARGEST, UNIT_BYTES, Class, Day, Plan
 
@@ -66,11 +67,12 @@
     rulings: list[Ruling]
     figures: dict[str, float]
     kept_in: str = ""  # where logs and settings of the gateways are, if they were kept
+    members: Members | None = None  # where the gateways know each other
 
     @property
     def kept(self) -> bool:
-        """Whether all seven hold."""
-        return all(ruling.kept for ruling in self.rulings)
+        """Whether all seven hold, and what is stated of membership."""
+        return all(ruling.kept for ruling in self.rulings) and (self.members is None or self.members.kept)
 
     @property
     def untried(self) -> list[int]:
@@ -78,6 +80,18 @@
         return [ruling.rule for ruling in self.rulings if ruling.untried]
 
 
+def stops(record: Sequence[Seen]) -> defaultdict[str, list[tuple[float, float]]]:
+    """From when to when each gateway's process was stopped."""
+    found: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
+    since: dict[str, float] = {}
+    for seen in record:
+        if seen["what"] == "gateway-stopped":
+            since[seen["gateway"]] = seen["t"]
+        elif seen["what"] == "gateway-goes-on" and seen["gateway"] in since:
+            found[seen["gateway"]].append((since.pop(seen["gateway"]), seen["t"]))
+    return found
+
+
 class Judge:
     """One record before the judge."""
 
@@ -103,6 +117,7 @@
         for what in ("gateway-down", "gateway-gone"):
             for seen in self.by_what[what]:
                 self.ends_of[seen["gateway"]].append(seen["t"])
+        self.stops = stops(self.record)  # of processes that were made to stand still
 
     changed: dict[str, float]
 
@@ -139,6 +154,8 @@
         return bisect_right(self.kills[gateway], at)
 
     def _killed(self, gateway: str, since: float, until: float) -> bool:
+        if any(stopped <= until and since <= on for stopped, on in self.stops[gateway]):
+            return True  # a process that stands still can't answer
         return any(since <= at <= until for at in self.ends_of[gateway])
 
     # 1
@@ -560,4 +577,6 @@
         )
         lines += [f"      {why}: {seen}" for why, seen in ruling.broken[:3]]
     lines.append("  " + ", ".join(f"{name} {value:.0f}" for name, value in verdict.figures.items()))
+    if verdict.members is not None:
+        lines += verdict.members.lines()
     return "\n".join(lines)
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import random
 import shutil
@@ -16,9 +17,12 @@
 import anyio
 from anyio.abc import Process, TaskGroup
 
+from winchdyke.admin import keys
 from winchdyke.days import script
 from winchdyke.days.judge import Judge, Verdict
+from winchdyke.days.members import Views, settle
 from winchdyke.standins.clients import Clients
+from winchdyke.standins.links import Fault, Links
 from winchdyke.standins.nodelist import ListService
 from winchdyke.standins.record import Record, Seen, clock
 from winchdyke.standins.store import Meter, Rack, Shelf, Spec, Store
@@ -47,6 +51,38 @@
         self.addresses: dict[int, tuple[str, int]] = {}
         self.s3_addresses: dict[int, tuple[str, int]] = {}
         self.ends: list[int] = []
+        self.links: Links | None = None
+
+    @property
+    def names(self) -> list[str]:
+        """The gateways' names, by their index."""
+        return [f"gateway-{index}" for index in range(self.day.gateways)]
+
+    def _fleet_port(self, name: str) -> int:
+        """Where a gateway listens for the others now; 0 where it does not."""
+        try:
+            return int((self.where / f"{name}.port.fleet").read_text().strip().rpartition(":")[2])
+        except (OSError, ValueError):
+            return 0
+
+    async def _start_links(self) -> None:
+        secret = base64.b64encode(random.Random(self.day.seed).randbytes(32)).decode()
+        keys.write(self.where / "fleet.keys", [keys.Key("fleet", secret, "fleet")])
+        self.links = Links(self.names, self.day.seed, self.record, self._fleet_port)
+        await self.links.start()
+
+    def _fleet_settings(self, index: int) -> str:
+        if self.links is None:
+            return ""
+        peers = self.links.peers(self.names[index])
+        seeds = ", ".join(list(peers.values())[:3])
+        ms = self.day.fleet
+        text = (
+            f'fleet {{\n    listen = 127.0.0.1:0\n    seeds = {seeds}\n    keys = "{self.where}/fleet.keys"\n'
+            f'    keep = "{self.where}/members-{index}"\n    interval = {ms:g}ms\n    timeout = {0.4 * ms:g}ms\n'
+            f"    exchange = {30 * ms:g}ms\n}}\n"
+        )
+        return text + "".join(f"peer {name} {{\n    address = {at}\n}}\n" for name, at in peers.items())
 
     def _store(self, shard: int, shelf: Shelf, number: int) -> Store:
         day = self.day
@@ -64,6 +100,9 @@
     async def start(self) -> None:
         """Start all; DayError where a gateway does not come up."""
         await self.list.start(self.group)
+        if self.day.fleet:
+            self.record.note("day", "clock", unix_ms=time.time() * 1000)
+            await self._start_links()
         for shard in range(self.day.stores):
             store = self._store(shard, Shelf(), shard)
             self.stores.append(store)
@@ -79,9 +118,10 @@
         """Start a gateway's process and wait for its address."""
         port_file = self.where / f"gateway-{index}.port"
         port_file.unlink(missing_ok=True)
-        port_file.with_name(port_file.name + ".s3").unlink(missing_ok=True)
+        for beside in (".s3", ".fleet"):
+            port_file.with_name(port_file.name + beside).unlink(missing_ok=True)
         settings = self.where / f"gateway-{index}.conf"
-        more = self.more.replace("{name}", f"gateway-{index}")
+        more = self.more.replace("{name}", f"gateway-{index}") + self._fleet_settings(index)
         settings.write_text(script.settings(self.day, index, self.list.port, str(port_file), more))
         with (self.where / f"gateway-{index}.log").open("ab") as log:
             command = [sys.executable, "-m", "winchdyke", "serve", "-c", str(settings)]
@@ -155,8 +195,13 @@
                 store.trick, store.trick_share = "", 0.0
         elif event.kind in ("pauses", "neighbour"):
             await self._on_and_off(event, stores, draw)
-        elif event.kind == "gateway-kill":
-            await self._kill_gateway(event.on[0] % self.day.gateways, span)
+        elif event.kind in ("gateway-kill", "gateway-stop", "gateway-leave"):
+            do = {"gateway-kill": self._kill_gateway, "gateway-stop": self._stop_gateway}
+            async with anyio.create_task_group() as group:
+                for index in event.on:
+                    group.start_soon(do.get(event.kind, self._leave_gateway), index % self.day.gateways, span)
+        elif event.kind == "link":
+            await self._link(event, span)
         elif event.kind == "change":
             await self._change(event)
         elif event.kind == "own-drain":
@@ -301,7 +346,55 @@
         await anyio.sleep(span)
         other.kill()
 
+    async def _link(self, event: script.Event, span: float) -> None:
+        links, how, size = self.links, event.how, event.size
+        assert links is not None
+        some = [self.names[index] for index in event.on]
+        others = [name for name in self.names if name not in some]
+        if not some:
+            pairs = links.between(self.names, self.names, both=False)
+        elif how in ("deaf", "mute"):
+            pairs = links.between(*((others, some) if how == "deaf" else (some, others)), both=False)
+        else:
+            pairs = links.between(some, others)
+        fault = {
+            "cut": Fault(cut=True), "deaf": Fault(cut=True), "mute": Fault(cut=True), "loss": Fault(loss=size),
+            "burst": Fault(loss=size, burst=8.0), "copies": Fault(copies=size), "delay": Fault(delay=size, jitter=size),
+            "tail": Fault(delay=2.0, tail=size), "large": Fault(large=int(size)), "no-udp": Fault(datagrams=False),
+            "no-tcp": Fault(streams=False),
+        }[how]  # fmt: skip
+        before = {pair: links.links[pair].fault for pair in pairs}
+        links.set(pairs, fault)
+        await anyio.sleep(span)
+        for was in set(before.values()):
+            links.set([pair for pair, each in before.items() if each == was], was)
+
+    async def _stop_gateway(self, index: int, span: float) -> None:
+        process = self.processes[index]
+        if process.returncode is not None:
+            return
+        process.send_signal(signal.SIGSTOP)
+        self.record.note("day", "gateway-stopped", gateway=f"gateway-{index}")
+        await anyio.sleep(span)
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+        self.record.note("day", "gateway-goes-on", gateway=f"gateway-{index}")
+
+    async def _leave_gateway(self, index: int, span: float) -> None:
+        process = self.processes[index]
+        if process.returncode is not None:
+            return
+        self.record.note("day", "gateway-leaves", gateway=f"gateway-{index}")
+        process.send_signal(signal.SIGTERM)
+        await process.wait()
+        for what in ("gateway-down", "gateway-gone"):
+            self.record.note("day", what, gateway=f"gateway-{index}")
+        await anyio.sleep(span)
+        await self.start_gateway(index)
+
     async def _kill_gateway(self, index: int, span: float) -> None:
+        if self.processes[index].returncode is not None:
+            return  # another trouble has ended it
         self.record.note("day", "gateway-down", gateway=f"gateway-{index}")
         process = self.processes[index]
         process.kill()
@@ -331,8 +424,13 @@
                     troubles.start_soon(fleet.play, event, random.Random(draw.random()))
                 await clients.run(script.wishes(day))
             await anyio.sleep(AFTER_S)
+            if day.fleet:
+                fleet.record.note("day", "settled", views=await settle(fleet.names, where))
             await fleet.stop()
         finally:
+            if fleet.links is not None:
+                fleet.record.note("links", "counts", **fleet.links.counts)
+                fleet.links.close()
             for process in fleet.processes.values():
                 if process.returncode is None:
                     process.kill()
@@ -361,6 +459,9 @@
             error = error.exceptions[0]
         raise error from None
     verdict = Judge(day, seen).verdict()
+    if day.fleet:
+        verdict.members = Views(day, seen, where).verdict()
+        verdict.members.settled = next((each["views"] for each in seen if each["what"] == "settled"), {})
     if verdict.kept and not any(ends) and keep is None:
         shutil.rmtree(where, ignore_errors=True)
     else:
--- a/winchdyke/days/script.py
+++ b/winchdyke/days/script.py
@@ -13,12 +13,16 @@
 Trouble = Literal[
     "deploy", "silent", "lost", "slow", "pauses", "neighbour", "crash", "burst", "gateway-kill", "list-down",
     "leave-upload", "leave-download", "hurry", "own-drain", "reuse", "change",
-    "trick", "large",
+    "trick", "large", "link", "gateway-stop", "gateway-leave",
 ]  # fmt: skip
 
 
 class Event(msgspec.Struct, frozen=True):
-    """A trouble: from when, how long (ms), on which stores, gateways or volumes, and how hard."""
+    """A trouble: from when, how long (ms), on which stores, gateways or volumes, and how hard.
+
+    ``link``: all links between the gateways ``on`` and the others (among all where none are named) have the fault ``how``, one of
+    cut, deaf (what comes to them alone), mute (what goes from them alone), loss, burst, copies, delay, tail, large, no-udp, no-tcp.
+    """
 
     kind: Trouble
     at: float
@@ -110,6 +114,8 @@
     )
     keeps: bool = False  # whether gateways keep the node list on their disks
     changes: bool = False  # whether their settings are changed in service
+    fleet: float = 0.0  # the interval (ms) at which gateways probe each other, over links that can fail; 0: they know nobody
+    zones: int = 1  # that the gateways stand in
     carried_not: list[str] = []
 
 
@@ -269,7 +275,44 @@
     return pressed(msgspec.structs.replace(_bare(day), name="change-day", events=events, changes=True), order)
 
 
-DAYS = {"bad-day": bad_day, "quiet-day": quiet_day, "blind-day": blind_day, "change-day": change_day}
+FLEET_MS = 200.0  # between probes in a day: a fifth of what is usual, so that a day is half a minute
+
+
+def fleet_day(seed: int, length: float = 36_000.0, gateways: int = 8) -> Day:
+    """Gateways that know each other lose links, are stopped, killed and started again; the last third is calm."""
+    draw = random.Random(f"fleet/{seed}/{gateways}")
+    part, every = length / 24, list(range(gateways))
+    some = draw.sample(every, gateways)
+    few = max(1, gateways // 4)
+    day = quiet_day(seed, length)
+    volumes = [
+        msgspec.structs.replace(
+            volume, gateways=sorted(draw.sample(every, min(gateways, 3))), rate=volume.rate / 3
+        )
+        for volume in day.volumes[:COURSES]
+    ]
+    troubles = [
+        Event("link", 0.5 * part, 15 * part, [], draw.choice([0.05, 0.2]), "loss"),
+        Event("link", 1 * part, 4 * part, some[:1], 0.0, draw.choice(["deaf", "mute"])),
+        Event("gateway-stop", 2 * part, 2 * part, some[1:2]),
+        Event("gateway-kill", 3 * part, 5 * part, some[2:3]),
+        Event("gateway-kill", 9 * part, 0.0, some[1:2]),
+        Event("link", 9 * part, 4 * part, some[:few], 0.0, "cut"),
+        Event("gateway-stop", 11 * part, 0.7 * part, some[few:]),
+        Event("gateway-leave", 13.5 * part, 1 * part, some[2:3]),
+    ]
+    if gateways >= 8:  # seven in ten at once
+        troubles.append(Event("gateway-kill", 14.5 * part, 0.5 * part, some[3 : 3 + 7 * gateways // 10 - 2]))
+    return msgspec.structs.replace(
+        day, name="fleet-day", gateways=gateways, volumes=volumes, events=troubles, fleet=FLEET_MS,
+        zones=2 if gateways >= 8 else 1, length=length,
+    )  # fmt: skip
+
+
+DAYS = {
+    "bad-day": bad_day, "quiet-day": quiet_day, "blind-day": blind_day, "change-day": change_day,
+    "fleet-day": fleet_day,
+}  # fmt: skip
 
 
 def _active(day: Day, kind: str, at: float) -> Event | None:
@@ -403,7 +446,8 @@
     rules = day.rules
     blocks: list[tuple[str, dict[str, object]]] = [
         ("gateway", {
-            "name": f"gateway-{index}", "index": index, "gateways": day.gateways, "zone": "hall-a",
+            "name": f"gateway-{index}", "index": index, "gateways": day.gateways,
+            "zone": f"hall-{'abcdefgh'[index % day.zones]}",
             "seed": (day.seed * 100 + index) % SEEDS, "port_file": f'"{port_file}"',
         }),
         ("listener main", {"address": "127.0.0.1:0"}),
--- /dev/null
+++ b/winchdyke/fleet/members/bounds.py
@@ -0,0 +1,71 @@
+"""The figures that membership goes by, and the bounds that follow from them. Pure.
+
+Sources: Das, Gupta, Motivala, *SWIM* (2002); Dadgar, Phillips, Currey, *Lifeguard* (2018), for the suspicion's time and the
+local health; the derivations are in ``docs/fleet.md``.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times in ms."""
+
+    interval: float = 1000.0  # between probes, each of one member
+    timeout: float = 300.0  # for a direct answer; the rest of the interval is for indirect ones
+    helpers: int = 3  # that are asked to probe where no direct answer came
+    suspicion: float = 3.0  # intervals times log10 of the members: the least time to refute
+    patience: float = 4.0  # times the least: the time to refute where nobody else suspects
+    confirmations: int = 3  # others' suspicions after which the least time holds
+    health_most: int = 8  # of the local health, which lengthens the own interval and time-outs
+    spread: float = 4.0  # times log10 of the members: how often one entry is sent on
+    exchange: float = 30_000.0  # between full exchanges with one member
+    retry: float = 1000.0  # first gap between tries to reach seeds, or members that are dead
+    retry_most: float = 10_000.0
+    forget: float = 600_000.0  # after which the dead and the left are forgotten
+    pause: float = 250.0  # the own clock was late by so much: the process slept
+    members_most: int = 1024
+    sight: float = 2.0  # intervals for which a member that was heard is not dead by hearsay
+
+    def logs(self, members: int) -> float:
+        """log10 of the members, 1 at the least."""
+        return max(1.0, math.log10(max(1, members)))
+
+    def least(self, members: int) -> float:
+        """ms from a suspicion to a death that several say."""
+        return self.suspicion * self.logs(members) * self.interval
+
+    def most(self, members: int) -> float:
+        """ms from a suspicion to a death that one alone says."""
+        return self.patience * self.least(members)
+
+    def wait(self, members: int, confirmed: int) -> float:
+        """ms of a suspicion that so many others share (Lifeguard, section IV-B)."""
+        least, most = self.least(members), self.most(members)
+        # Two members: nobody else can confirm.
+        needed = min(self.confirmations, max(0, members - 2))
+        if not needed:
+            return least
+        part = math.log(confirmed + 1) / math.log(needed + 1)
+        return max(least, most - (most - least) * part)
+
+    def sends(self, members: int) -> int:
+        """How often one entry is sent on."""
+        return math.ceil(self.spread * self.logs(members))
+
+    def detected(self, members: int, rounds: float = 5.0) -> float:
+        """ms within which all that can be reached call a killed member dead, but for e to the minus ``rounds`` of deaths.
+
+        Until somebody probes it: each of n members draws one of n - 1 a round, so that none has after r rounds with a chance
+        of e^-r at the most. Then one interval for the probe, the longest suspicion (each later one of others shortens it), and the
+        word's way: log2(n) rounds and two.
+        """
+        return (rounds + 1 + math.log2(max(2, members)) + 2) * self.interval + self.most(members)
+
+    def agreed(self, members: int) -> float:
+        """ms after the last trouble within which all views are equal, with the chance above: dead members are tried
+        anew, their refutations go round, and accusations still under way run out."""
+        return self.retry_most + self.detected(members) + self.interval * 2
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -24,6 +24,7 @@
 from winchdyke.changes.live import Live, Prepared
 from winchdyke.changes.trail import TrailError
 from winchdyke.config import Config
+from winchdyke.fleet.node import FleetError, Node
 from winchdyke.gateway.attempts import LOST
 from winchdyke.gateway.clients import ClientConnection
 from winchdyke.gateway.engine import Engine
@@ -76,6 +77,7 @@
         self.service.on_word, self.service.on_refused = self.membership.heard, self.membership.refused
         self.live = self._live()
         self.writeback = self._writeback()
+        self.fleet = Node(config, self.engine.clock) if config.fleet.listen is not None else None
         self.address = ("", 0)
         self.addresses: list[tuple[str, int]] = []
         self.admin_addresses: list[object] = []
@@ -218,6 +220,13 @@
         sys.setswitchinterval(SWITCH_S)
         listeners = await self._listen()
         admins = await self._admin_listeners([listener for listener, _ in listeners])
+        if self.fleet is not None:
+            try:
+                await self.fleet.open()
+            except FleetError as error:
+                for listener in [*admins, *(listener for listener, _ in listeners)]:
+                    await listener.aclose()
+                raise StartError(str(error)) from error
         self.addresses = [listener.extra(SocketAttribute.local_address)[:2] for listener, _ in listeners]  # type: ignore[misc]
         self.address = self.addresses[0]
         async with anyio.create_task_group() as group:
@@ -229,13 +238,17 @@
                 group.start_soon(self.live.run)
             if self.writeback is not None:
                 group.start_soon(self.writeback.run, self.engine.held)
+            if self.fleet is not None:
+                group.start_soon(self.fleet.run)
             accepting: list[anyio.CancelScope] = []
             for listener, handle in listeners:
                 group.start_soon(self._accept, listener, handle, accepting, group)
             if self.s3 is not None:
                 group.start_soon(self.s3.run)
-            if self.live is not None and admins:
-                admin = Admin(self.config.admin, self.live.trail)
+            if admins:
+                admin = Admin(
+                    self.config.admin, self.live.trail if self.live is not None else None, self.fleet
+                )
                 for listener in admins:
                     group.start_soon(self._accept_admin, listener, admin, accepting, group)
             self._log.info(
@@ -243,6 +256,8 @@
             )
             started()
             await self._stop.wait()
+            if self.fleet is not None:
+                self.fleet.leave()  # heard long before the process ends
             for scope in accepting:
                 scope.cancel()
             await self._drain()
@@ -250,6 +265,8 @@
                 await self.writeback.stop()
             group.cancel_scope.cancel()
         await self.pool.close()
+        if self.fleet is not None:
+            await self.fleet.close()
         if self.ledger is not None:
             await anyio.to_thread.run_sync(self.ledger.close)
             kept = {
@@ -284,10 +301,15 @@
         return found
 
     async def _admin_listeners(self, others: list[SocketListener]) -> list[SocketListener]:
-        if self.live is None:
+        folder = self.live.folder if self.live is not None else None
+        if folder is None and self.fleet is not None:
+            folder = Path(self.config.fleet.keep) if self.config.fleet.keep else None
+            if folder is None and not self.config.admin.socket:
+                return []
+        elif folder is None:
             return []
         try:
-            found = await listen(self.config.admin, self.live.folder)
+            found = await listen(self.config.admin, folder or Path("."))
         except AdminError as error:
             for listener in others:
                 await listener.aclose()
@@ -453,6 +475,8 @@
             path = Path(config.gateway.port_file)
             if gateway.s3 is not None:  # the S3 listener's beside it
                 _told(path.with_name(path.name + ".s3"), gateway.addresses[-1])
+            if gateway.fleet is not None:
+                _told(path.with_name(path.name + ".fleet"), gateway.fleet.address)
             _told(path, gateway.address)
         started(gateway)
 
--- /dev/null
+++ b/winchdyke/model/fleet.py
@@ -0,0 +1,293 @@
+"""Membership in virtual time: real machines, sealed and opened messages' bytes counted, links with faults, pauses, kills.
+
+Everything is drawn from the seed. A :class:`Fleet` plays a script of steps and keeps what a judge needs: when each member ran,
+what each view said when, bytes by member and second.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from winchdyke.fleet import wire
+from winchdyke.fleet.members import machine as m
+from winchdyke.fleet.members.bounds import Bounds
+from winchdyke.fleet.members.machine import Machine, Own
+
+UDP_IP, TCP_SETUP = 28, 400  # bytes around a datagram, and of a short TCP connection beside what it carries
+SECRET = b"the model's key, sixteen or more"
+
+
+@dataclass
+class Links:
+    """What the network does, by ordered pair."""
+
+    loss: float = 0.0
+    copies: float = 0.0
+    delay: tuple[float, float] = (0.2, 1.0)  # ms, least and mean beyond it
+    tail: float = 0.0  # part of the datagrams that take a hundred times as long
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    datagrams: bool = True
+    streams: bool = True
+    large_lost: int = 0  # datagrams longer than this are lost; 0: none
+
+    def passes(self, sender: str, to: str) -> bool:
+        """Whether anything goes this way."""
+        return (sender, to) not in self.cut
+
+
+@dataclass
+class Life:
+    """One process."""
+
+    name: str
+    zone: str
+    index: int
+    machine: Machine
+    began: float
+    ended: float | None = None
+    paused_until: float = 0.0
+    forgets: bool = False  # what comes while it stands still is lost, as where its host has no room for it
+    waiting: list[m.Arrived | m.Exchanged] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Told:
+    """What a view said of a member from a time on."""
+
+    at: float
+    viewer: str
+    member: str
+    state: str
+    life: int
+
+
+class Fleet:
+    """Machines, a network and a clock."""
+
+    def __init__(
+        self,
+        members: int,
+        seed: int,
+        bounds: Bounds | None = None,
+        zones: int = 1,
+        make: Callable[[Own, Bounds, int, float], Machine] = Machine,
+        links: Links | None = None,
+        start_ms: float = 1000.0,
+    ) -> None:
+        self.bounds, self.draw, self.make = bounds or Bounds(), random.Random(seed), make
+        self.links = links or Links()
+        self.now, self._order = 0.0, 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self.lives: dict[str, Life] = {}
+        self.past: list[Life] = []
+        self.told: list[Told] = []
+        self.notes: list[tuple[float, str, m.Note]] = []
+        self.bytes: dict[str, dict[int, int]] = defaultdict(lambda: defaultdict(int))
+        self.largest = 0
+        self._before: dict[str, dict[str, tuple[str, int]]] = defaultdict(dict)
+        self._versions: dict[str, int] = {}
+        self.names = [f"g{n}" for n in range(members)]
+        self.zones = {name: f"zone-{n % zones}" for n, name in enumerate(self.names)}
+        self.seeds = tuple(self._address(name) for name in self.names[:3])
+        for name in self.names:
+            self.at(self.draw.random() * start_ms, lambda name=name: self.start(name))  # type: ignore[misc]
+
+    # The script.
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        """Do something at a time."""
+        self._order += 1
+        heapq.heappush(self._events, (max(when, self.now), self._order, what))
+
+    def start(self, name: str, clock: float | None = None) -> None:
+        """Start a process under a name; ``clock`` is the Unix time that it believes, where that is another."""
+        if name in self.lives:
+            return
+        index = int(name[1:])
+        life = (int(self.now if clock is None else clock) + 1_000_000) << 16 | self.draw.getrandbits(16)
+        own = Own(
+            name,
+            self._address(name),
+            self.zones.get(name, "zone-0"),
+            index,
+            life,
+            len(self.names),
+            self.seeds,
+        )
+        machine = self.make(own, self.bounds, self.draw.getrandbits(32), self.now)
+        self.lives[name] = Life(name, own.zone, index, machine, self.now)
+        self._versions[name] = -1
+        self._before[name] = {}
+        self._wake(self.lives[name])
+
+    def kill(self, name: str) -> None:
+        """End a process; nobody is told."""
+        life = self.lives.pop(name, None)
+        if life is not None:
+            life.ended = self.now
+            self.past.append(life)
+
+    def leave(self, name: str) -> None:
+        """End a process in good order."""
+        life = self.lives.get(name)
+        if life is not None:
+            self._do(life, life.machine.leave(self.now))
+            self.kill(name)
+
+    def pause(self, name: str, length: float, forgets: bool = False) -> None:
+        """Stop a process for a time; what comes meanwhile waits for it, or is lost."""
+        life = self.lives.get(name)
+        if life is not None:
+            life.forgets = forgets
+            life.paused_until = max(life.paused_until, self.now + length)
+            self.at(life.paused_until, lambda: self._turn(life))
+
+    def run(self, until: float) -> None:
+        """Play on to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, what = heapq.heappop(self._events)
+            what()
+        self.now = until
+
+    # What is seen.
+
+    def agreed(self) -> bool:
+        """Whether all views name just those that run."""
+        return not self.differ()
+
+    def differ(self) -> list[str]:
+        """What is wrong in which view."""
+        found = []
+        for name, life in self.lives.items():
+            want = sorted((n, other.machine.life) for n, other in self.lives.items() if n != name)
+            have = sorted(life.machine.view(self.now).agrees())
+            if want != have:
+                missing = [n for n, _ in want if n not in dict(have)]
+                extra = [n for n, _ in have if n not in dict(want)]
+                found.append(f"{name}: without {missing[:5]}, with {extra[:5]}")
+        return found
+
+    def until_agreed(self, most: float, step: float = 100.0) -> float | None:
+        """Play on until all views agree; ms that took, None where it took more than ``most``."""
+        began = self.now
+        while self.now < began + most:
+            if self.agreed():
+                return self.now - began
+            self.run(self.now + step)
+        return None
+
+    def rate(self, since: float, until: float) -> list[float]:
+        """Bytes a second that each member sent over a time."""
+        seconds = range(int(since / 1000), int(until / 1000))
+        return [
+            sum(self.bytes[name][second] for second in seconds) / max(1, len(seconds)) for name in self.names
+        ]
+
+    # Inside.
+
+    @staticmethod
+    def _address(name: str) -> str:
+        return f"at-{name}"
+
+    def _wake(self, life: Life) -> None:
+        self.at(max(life.machine.due, self.now + 0.01), lambda: self._turn(life))
+
+    def _turn(self, life: Life) -> None:
+        if self.lives.get(life.name) is not life or self.now < life.paused_until:
+            return
+        happened, life.waiting = life.waiting, []
+        self._do(life, life.machine.handle(self.now, happened))
+        if not happened:
+            self._wake(life)
+
+    def _hand(self, life: Life, what: m.Arrived | m.Exchanged) -> None:
+        if self.lives.get(life.name) is not life:
+            return
+        if self.now < life.paused_until:
+            if not life.forgets or isinstance(what, m.Exchanged):
+                life.waiting.append(what)
+            return
+        self._do(life, life.machine.handle(self.now, [what]))
+
+    def _do(self, life: Life, actions: Iterable[m.Action]) -> None:
+        for action in actions:
+            if isinstance(action, m.Tell):
+                self._datagram(life.name, action.address, action.message)
+            elif isinstance(action, m.Exchange):
+                self._stream(life, action.address, action.message)
+            elif isinstance(action, m.Note):
+                self.notes.append((self.now, life.name, action))
+            elif isinstance(action, m.Leave):
+                self.kill(life.name)
+        view = life.machine.view(self.now)
+        if view.version != self._versions.get(life.name):
+            self._versions[life.name] = view.version
+            before = self._before[life.name]
+            for member in view.members:
+                if before.get(member.name) != (member.state, member.life):
+                    before[member.name] = member.state, member.life
+                    self.told.append(Told(self.now, life.name, member.name, member.state, member.life))
+
+    def _count(self, name: str, size: int) -> None:
+        self.bytes[name][int(self.now / 1000)] += size
+
+    def _delay(self) -> float:
+        least, mean = self.links.delay
+        delay = least + self.draw.expovariate(1 / mean)
+        return delay * 100 if self.links.tail and self.draw.random() < self.links.tail else delay
+
+    def _datagram(self, sender: str, address: str, message: wire.Envelope) -> None:
+        data, links = wire.seal(message, SECRET), self.links
+        assert len(data) <= wire.DATAGRAM_MOST, f"{len(data)} bytes"
+        self.largest = max(self.largest, len(data))
+        self._count(sender, len(data) + UDP_IP)
+        to = address.removeprefix("at-")
+        if (
+            not links.datagrams
+            or not links.passes(sender, to)
+            or (links.large_lost and len(data) > links.large_lost)
+        ):
+            return
+        copies = 2 if links.copies and self.draw.random() < links.copies else 1
+        for _ in range(copies):
+            if links.loss and self.draw.random() < links.loss:
+                continue
+            self.at(self.now + self._delay(), lambda: self._datagram_comes(to, data, self._address(sender)))
+
+    def _datagram_comes(self, to: str, data: bytes, address: str) -> None:
+        life = self.lives.get(to)
+        if life is not None:
+            self._hand(life, m.Arrived(wire.unseal(data, [SECRET]), address))
+
+    def _stream(self, life: Life, address: str, message: wire.Envelope) -> None:
+        links, to = self.links, address.removeprefix("at-")
+        size = len(wire.seal(message, SECRET))
+        self._count(life.name, size + TCP_SETUP)
+
+        def ended(answer: wire.Envelope | None) -> None:
+            self._hand(life, m.Exchanged(address, message.number, answer))
+
+        def comes() -> None:
+            other = self.lives.get(to)
+            there = links.streams and links.passes(life.name, to) and links.passes(to, life.name)
+            if not there or other is None or self.now < other.paused_until:
+                self.at(self.now + self.bounds.timeout, lambda: ended(None))
+                return
+            told = other.machine.handle(self.now, [m.Arrived(message, self._address(life.name), True)])
+            replies = [action.message for action in told if isinstance(action, m.Reply)]
+            self._do(other, told)
+            for reply in replies[:1]:
+                self._count(to, len(wire.seal(reply, SECRET)))
+                self.at(self.now + self._delay(), lambda reply=reply: ended(reply))  # type: ignore[misc]
+            if not replies:
+                self.at(self.now + self.bounds.timeout, lambda: ended(None))
+
+        # Lost segments are sent again: TCP answers late rather than not at all.
+        again = 0.0
+        while links.loss and again < 3 and self.draw.random() < links.loss:
+            again += 1
+        self.at(self.now + 2 * self._delay() + again * 200.0, comes)
