--- a/winchdyke/days/judge.py
+++ b/winchdyke/days/judge.py
@@ -15,7 +15,7 @@
 from itertools import pairwise
 from typing import Any
 
-from winchdyke.days.members import Members
+from winchdyke.days.members import Members, stops
 from winchdyke.days.pressure import Gauge, Pressure
 from winchdyke.days.script import LARGEST, UNIT_BYTES, Class, Day, Plan
 
@@ -80,18 +80,6 @@
         return [ruling.rule for ruling in self.rulings if ruling.untried]
 
 
-def stops(record: Sequence[Seen]) -> defaultdict[str, list[tuple[float, float]]]:
-    """From when to when each gateway's process was stopped."""
-    found: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
-    since: dict[str, float] = {}
-    for seen in record:
-        if seen["what"] == "gateway-stopped":
-            since[seen["gateway"]] = seen["t"]
-        elif seen["what"] == "gateway-goes-on" and seen["gateway"] in since:
-            found[seen["gateway"]].append((since.pop(seen["gateway"]), seen["t"]))
-    return found
-
-
 class Judge:
     """One record before the judge."""
 
--- a/winchdyke/days/members.py
+++ b/winchdyke/days/members.py
@@ -38,6 +38,18 @@
 Span = tuple[float, float]
 
 
+def stops(record: Sequence[Seen]) -> defaultdict[str, list[tuple[float, float]]]:
+    """From when to when each gateway's process was stopped."""
+    found: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
+    since: dict[str, float] = {}
+    for seen in record:
+        if seen["what"] == "gateway-stopped":
+            since[seen["gateway"]] = seen["t"]
+        elif seen["what"] == "gateway-goes-on" and seen["gateway"] in since:
+            found[seen["gateway"]].append((since.pop(seen["gateway"]), seen["t"]))
+    return found
+
+
 def bounds_of(day: Day) -> Bounds:
     """The figures that the day's gateways go by."""
     ms = day.fleet
@@ -84,7 +96,7 @@
         )
         self.offset = next(seen["unix_ms"] - seen["t"] for seen in record if seen["what"] == "clock")
         self.lives, self.gone = self._lives()
-        self.stopped = self._stopped()
+        self.stopped = dict(stops(self.record))
         self.turns = {name: self._read(where / f"{name}.log") for name in self.names}
         self.faults = self._faults()
 
@@ -107,11 +119,6 @@
                     away[name].append((until, following))
         return ran, away
 
-    def _stopped(self) -> dict[str, list[Span]]:
-        from winchdyke.days.judge import stops
-
-        return dict(stops(self.record))
-
     def _read(self, log: Path) -> list[tuple[float, str, str]]:
         """(time, member, state) in order; a start of the viewer's process is the member "" in state "began"."""
         found: list[tuple[float, str, str]] = []
