--- /dev/null
+++ b/fuzz/datagrams.py
@@ -0,0 +1,62 @@
+"""Fuzzing what comes in from other gateways: the opener of sealed messages, and the machine behind it, with a good seal.
+
+python fuzz/datagrams.py CORPUS_FOLDER [libFuzzer options]
+
+Whatever comes is dropped with a reason or taken; any exception is a fault, and so is a book past its bound, an answer that is too
+long, or a message without the key that is taken. The first byte says whether the seal is good; each further message is cut at 0xFF.
+"""
+
+from __future__ import annotations
+
+import sys
+
+import atheris
+
+with atheris.instrument_imports(include=["winchdyke.fleet"]):
+    from winchdyke.fleet import wire
+    from winchdyke.fleet.members import machine as m
+    from winchdyke.fleet.members.bounds import Bounds
+
+SECRET = b"a secret that no input knows...."
+HEAD = wire.MAGIC + bytes((wire.VERSION, 0))
+BOUNDS = Bounds(members_most=50)
+
+
+def one(data: bytes) -> None:
+    """One input."""
+    if not data:
+        return
+    if data[0] % 4 == 0:
+        try:
+            wire.unseal(data[1:], [SECRET])
+        except wire.Dropped as dropped:
+            assert dropped.reason
+        else:
+            raise AssertionError("taken without the key")
+        return
+    machine = m.Machine(m.Own("a", "127.0.0.1:1", "z", 0, 5 << 16, 3), BOUNDS, 1, 0.0)
+    now = 0.0
+    for body in data[1:].split(b"\xff\xff")[:16]:
+        now += 100.0 * (1 + data[0] % 7)
+        try:
+            message = wire.unseal(HEAD + wire._tag(SECRET, HEAD, body) + body, [SECRET])
+        except wire.Dropped:
+            message = None
+        happened: list[m.Arrived | m.Exchanged] = []
+        if message is not None:
+            happened.append(m.Arrived(message, "127.0.0.1:2", stream=message.kind == wire.Kind.EXCHANGE))
+        for action in machine.handle(now, happened):
+            if isinstance(action, m.Tell):
+                assert len(wire.seal(action.message, SECRET)) <= wire.DATAGRAM_MOST
+        machine.view(now)
+        assert len(machine.book.members) <= BOUNDS.members_most
+
+
+def main() -> None:
+    """Fuzz until told otherwise."""
+    atheris.Setup(sys.argv, one)
+    atheris.Fuzz()
+
+
+if __name__ == "__main__":
+    main()
