Peers change in service; a gateway's place in the fleet tried on real sockets

Need: a member added, moved or removed without a start, a key changed under way, and what strangers send to the port.

Change: blocks `peer` may change through changes/, and reach the machine at the swap; peers count as seeds. tests/test_fleet_node.py: joining by one seed or by a peer gained in service, a leave heard, keys changed and withdrawn, strangers counted and told nothing, starts that can't be, the disk, the command.

--- /dev/null
+++ b/tests/test_fleet_node.py
@@ -0,0 +1,230 @@
+"""A gateway's place in the fleet on real sockets: joining, keys, strangers, the disk, the command."""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from click.testing import CliRunner
+
+from winchdyke.admin import keys
+from winchdyke.cli import fleet as command
+from winchdyke.config.loading import load_file
+from winchdyke.config.model import Config, Fleet, Listen
+from winchdyke.fleet import disk, wire
+from winchdyke.fleet.node import FleetError, Node
+
+BASE = Path(__file__).resolve().parent.parent / "winchdyke" / "config" / "defaults.conf"
+
+
+def secret(number: int) -> str:
+    return base64.b64encode(bytes([number]) * 32).decode()
+
+
+def ring(path: Path, *numbers: int) -> None:
+    keys.write(path, [keys.Key(f"k{number}", secret(number), "fleet") for number in numbers])
+
+
+def config(where: Path, name: str, **more: Any) -> Config:
+    if not (where / "keys").exists():
+        ring(where / "keys", 1)
+    base = load_file(BASE).config
+    fleet = Fleet(
+        Listen("127.0.0.1", 0), keys=str(where / "keys"), interval=100.0, timeout=40.0, exchange=1000.0
+    )
+    gateway = replace(base.gateway, name=name, gateways=3)
+    peers = more.pop("peers", ())
+    return replace(base, gateway=gateway, fleet=replace(fleet, **more), peers=peers)
+
+
+@asynccontextmanager
+async def running(*nodes: Node) -> AsyncIterator[None]:
+    async with anyio.create_task_group() as group:
+        for node in nodes:
+            if node.machine is None:
+                await node.open()
+            group.start_soon(node.run)
+        try:
+            yield
+        finally:
+            group.cancel_scope.cancel()
+    for node in nodes:
+        await node.close()
+
+
+async def until(what: Callable[[], bool]) -> None:
+    with anyio.fail_after(15):
+        while not what():
+            await anyio.sleep(0.02)
+
+
+def clock() -> float:
+    return time.monotonic() * 1000
+
+
+def states(node: Node) -> dict[str, str]:
+    return {row["name"]: row["state"] for row in node.standing()["members"]}
+
+
+def test_two_find_each_other_by_one_seed_and_a_leave_is_heard(tmp_path):
+    async def play() -> None:
+        one = Node(config(tmp_path, "one"), clock)
+        await one.open()
+        two = Node(config(tmp_path, "two", seeds=(Listen(*one.address),)), clock)
+        async with running(one, two):
+            await until(lambda: states(one) == {"two": "alive"} and states(two) == {"one": "alive"})
+            await until(lambda: one.standing()["members"][0]["link"] == "both")
+            assert one.standing()["members"][0]["heard_ms"] < 5000
+            two.leave()
+            await until(lambda: states(one) == {"two": "left"})
+
+    anyio.run(play)
+
+
+def test_a_peer_that_the_settings_gain_in_service_is_joined(tmp_path):
+    async def play() -> None:
+        one, two = (Node(config(tmp_path, name), clock) for name in ("one", "two"))
+        async with running(one, two):
+            await anyio.sleep(0.3)
+            assert states(one) == {} and one.standing()["alone"]
+            one.expect(replace(one.config, peers=(("two", Listen(*two.address)),)))
+            await until(lambda: states(one) == {"two": "alive"} and states(two) == {"one": "alive"})
+
+    anyio.run(play)
+
+
+def test_a_key_is_changed_under_way_and_a_withdrawn_one_opens_nothing(tmp_path):
+    async def play() -> None:
+        one, two = (Node(config(tmp_path, name), clock) for name in ("one", "two"))
+        await one.open()
+        two.config = replace(two.config, peers=(("one", Listen(*one.address)),))
+        async with running(one, two):
+            await until(lambda: bool(states(one)) and bool(states(two)))
+            for numbers in ((1, 2), (2, 1), (2,)):
+                ring(tmp_path / "keys", *numbers)
+                await anyio.sleep(1.3)
+            sealed = [key.id for key in one._keys.good(time.time() * 1000)]
+            assert sealed == ["k2"]
+            await anyio.sleep(0.5)
+            assert states(one) == {"two": "alive"} and one.standing()["members"][0]["heard_ms"] < 1000
+            message = wire.Envelope("two", 1, 1, "one", int(wire.Kind.PING))
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                stranger.sendto(wire.seal(message, base64.b64decode(secret(1))), one.address)
+                await until(lambda: one.counts["dropped:seal"] == 1)
+
+    anyio.run(play)
+
+
+def test_strangers_are_counted_and_told_nothing(tmp_path):
+    async def play() -> None:
+        one = Node(config(tmp_path, "one"), clock)
+        async with running(one):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                stranger.bind(("127.0.0.1", 0))
+                stranger.setblocking(False)
+                for data in (
+                    b"",
+                    b"hello",
+                    b"x" * 1500,
+                    b"WF\x01\x00" + b"y" * 60,
+                    b"WF\x09\x00" + b"y" * 60,
+                ):
+                    stranger.sendto(data, one.address)
+                await until(
+                    lambda: sum(n for what, n in one.counts.items() if what.startswith("dropped")) == 5
+                )
+                await anyio.sleep(0.2)
+                with pytest.raises(BlockingIOError):
+                    stranger.recv(100)
+            async with await anyio.connect_tcp(*one.address) as stream:
+                await stream.send(b"\xff\xff\xff\xff" + b"z" * 100)  # an exchange of 4 GiB
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5):
+                    await stream.receive()
+            assert one.counts["dropped:too-long"] == 2 and set(states(one)) == set()
+
+    anyio.run(play)
+
+
+def test_what_can_not_be_started_says_why_and_what_to_do(tmp_path):
+    async def play() -> None:
+        with pytest.raises(FleetError, match="see fleet, keys"):
+            await Node(config(tmp_path, "one", keys=str(tmp_path / "none")), clock).open()
+        (tmp_path / "open").write_text("{}")
+        (tmp_path / "open").chmod(0o644)
+        with pytest.raises(FleetError, match="chmod 600"):
+            await Node(config(tmp_path, "one", keys=str(tmp_path / "open")), clock).open()
+        one = Node(config(tmp_path, "one"), clock)
+        await one.open()
+        with pytest.raises(FleetError, match="see fleet, listen"):
+            await Node(config(tmp_path, "two", listen=Listen(*one.address)), clock).open()
+        await one.close()
+
+    anyio.run(play)
+
+
+def test_members_kept_on_the_disk_are_found_without_seeds_and_lives_only_go_up(tmp_path):
+    async def play() -> None:
+        one = Node(config(tmp_path, "one"), clock)
+        await one.open()
+        two = Node(config(tmp_path, "two", seeds=(Listen(*one.address),), keep=str(tmp_path / "kept")), clock)
+        async with running(one, two):
+            await until(lambda: (tmp_path / "kept" / disk.FILE).exists() and bool(states(two)))
+            await until(lambda: bool((disk.load(tmp_path / "kept")[0] or disk.Kept("x", 0)).members))
+            kept, wrong = disk.load(tmp_path / "kept")
+            assert kept is not None and not wrong and [each.name for each in kept.members] == ["one"]
+        far = disk.Kept("two", (1 << 60), kept.members)  # a clock that was years ahead
+        disk.save(tmp_path / "kept", far)
+        again = Node(config(tmp_path, "two", keep=str(tmp_path / "kept")), clock)
+        await again.open()
+        assert again.machine is not None and again.machine.life > 1 << 60
+        assert again.machine.seeds == (f"127.0.0.1:{one.address[1]}",)
+        await again.close()
+        (tmp_path / "kept" / disk.FILE).write_bytes(b"{cut")
+        assert disk.load(tmp_path / "kept")[1].startswith(str(tmp_path))
+
+    anyio.run(play)
+
+
+STANDING = {
+    "own": "one", "address": "10.0.0.1:7", "zone": "a", "life": 5, "incarnation": 0, "version": 3, "alive": 2, "alone": False,
+    "left": False, "health": 2, "slept_ms": 0, "event": {"text": "zone b unreachable", "since_ms": 4000.0}, "counts": {},
+    "members": [
+        {"name": "two", "address": "10.0.0.2:7", "zone": "b", "index": 9, "life": 6, "incarnation": 1, "state": "cut",
+         "since_ms": 200_000, "by": "two", "link": "deaf", "link_since_ms": 10, "heard_ms": None, "index_known": False},
+    ],
+    "history": [{"unix_ms": 1_700_000_000_000, "code": "found", "member": "two", "text": "at 10.0.0.2:7"}],
+}  # fmt: skip
+
+
+def test_the_command_shows_explains_and_watches(monkeypatch):
+    monkeypatch.setattr(command, "_standing", lambda where, key: STANDING)
+
+    def said(*words: str) -> str:
+        done = CliRunner().invoke(command.command, list(words))
+        assert done.exit_code == 0, done.output
+        return done.output
+
+    shown = said("show", "unix:x")
+    assert "2 of 2 there" in shown and "zone b unreachable since 4.0 s ago" in shown and "health 2" in shown
+    assert "never" in shown and "(index 9 is not in the settings)" in shown and "3 min" in shown
+    assert json.loads(said("show", "unix:x", "--json"))["own"] == "one"
+    explained = said("explain", "two", "unix:x")
+    assert "it does not hear this gateway" in explained and "found" in explained
+    assert "found" in said("history", "unix:x") and said("history", "unix:x", "--member", "none") == ""
+    assert said("watch", "unix:x", "--times", "2", "--every", "0.2").count("found") == 1
+    failed = CliRunner().invoke(command.command, ["explain", "none", "unix:x"])
+    assert failed.exit_code == 1 and "knows no none; it knows two" in failed.output
+
+
+def test_the_command_says_where_nobody_answers(tmp_path):
+    done = CliRunner().invoke(command.command, ["show", f"unix:{tmp_path}/none"])
+    assert done.exit_code == 1 and "no gateway answers" in done.output and "Traceback" not in done.output
--- a/winchdyke/changes/swap.py
+++ b/winchdyke/changes/swap.py
@@ -1,6 +1,7 @@
 """New settings in a serving gateway at one instant, between two batches of the scheduler's.
 
-Only what is decided for each request anew may change: plans, volumes, routes, pools. What lives on lives on: windows, accounts,
+Only what is decided for each request anew may change: plans, volumes, routes, pools; and peers, where other
+gateways are reached. What lives on lives on: windows, accounts,
 cold credit, budgets, suspicions. The seam to the module is :func:`retell`: it sets what the scheduler goes by, and clips each
 account to its new plan. A lowered limit binds from the instant; a raised one begins with what the account held, so that it
 gives no burst. A request that is held goes on at the shard it was taken for, to its last attempt.
@@ -15,7 +16,7 @@
 from winchdyke.config.model import Config
 from winchdyke.policy import Scheduler
 
-LIVE = frozenset({"plan", "volume", "route", "pool", "template"})
+LIVE = frozenset({"plan", "volume", "route", "pool", "template", "peer"})
 
 
 def fixed(changes: list[Change]) -> list[str]:
--- a/winchdyke/fleet/node.py
+++ b/winchdyke/fleet/node.py
@@ -91,7 +91,8 @@
 
     def _machine(self) -> m.Machine:
         gateway, fleet = self.config.gateway, self.fleet
-        life, seeds = int(time.time() * 1000) << 16, [_shown(seed) for seed in fleet.seeds]
+        life = int(time.time() * 1000) << 16
+        seeds = [_shown(where) for where in (*fleet.seeds, *(address for _, address in self.config.peers))]
         if fleet.keep:
             kept, wrong = disk.load(Path(fleet.keep))
             if wrong:
@@ -152,6 +153,14 @@
                     await self._wake.wait()
             await anyio.sleep_forever()
 
+    def expect(self, config: Config) -> None:
+        """Other peers from now on; who is there already stays so until it goes."""
+        if self.machine is not None and config.peers != self.config.peers:
+            self.config = config
+            at = {name: _shown(address) for name, address in config.peers}
+            self.machine.expect(tuple(dict.fromkeys([*map(_shown, self.fleet.seeds), *at.values()])), at)
+            self._wake.set()
+
     def leave(self) -> None:
         """Say goodbye; nothing is done after it."""
         if self.machine is not None and self._udp is not None:
@@ -182,7 +191,7 @@
                 "name": seen.name, "address": seen.address, "zone": seen.zone, "index": seen.index, "life": seen.life,
                 "incarnation": seen.incarnation, "state": seen.word, "since_ms": round(now - seen.since), "by": seen.by,
                 "link": seen.link, "link_since_ms": round(now - seen.link_since) if seen.link != "untried" else None,
-                "heard_ms": round(now - seen.heard) if seen.heard >= 0 else None, "index_known": seen.known,
+                "heard_ms": self._heard(seen.name, now), "index_known": seen.known,
             }
             for seen in view.members
         ]  # fmt: skip
@@ -195,6 +204,12 @@
             "members": members, "counts": {**machine.counts, **self.counts}, "history": list(self.history),
         }  # fmt: skip
 
+    def _heard(self, name: str, now: float) -> float | None:
+        """ms since a datagram came straight from it: newer than the snapshot, which holds until a state changes."""
+        assert self.machine is not None
+        member = self.machine.book.members.get(name)
+        return None if member is None or member.heard < -1e17 else round(now - member.heard)
+
     def _tell(self) -> None:
         view = self.view
         if view.version != self._version:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -164,6 +164,8 @@
         if self.service.snapshot.version != prepared.version:
             self.service.snapshot = Snapshot(prepared.after.config, prepared.version)
         self.engine.retell(prepared.settings, plans)
+        if self.fleet is not None:
+            self.fleet.expect(prepared.after.config)
 
     def _membership(self) -> Membership:
         where, name, clock = self.config.nodes, self.config.gateway.name, self.engine.clock
