--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -75,9 +75,9 @@
         self.engine.watch = self.membership.ask
         self.pool.greet = self._greet
         self.service.on_word, self.service.on_refused = self.membership.heard, self.membership.refused
+        self.fleet = Node(config, self.engine.clock) if config.fleet.listen is not None else None
         self.live = self._live()
         self.writeback = self._writeback()
-        self.fleet = Node(config, self.engine.clock) if config.fleet.listen is not None else None
         self.address = ("", 0)
         self.addresses: list[tuple[str, int]] = []
         self.admin_addresses: list[object] = []
