What rides in datagrams is bounded in bytes, not letters; nothing piles up behind them

Seen by reading: fields were bounded in letters, so that an entry of a member with the key could be larger than a datagram has room for; Gossip.take stops at the first that does not fit, and nothing more would ever have gone out. A name or zone of the own settings past 64 bytes made all own datagrams unreadable to others, with no word. A node that had left went on reading and keeping what came.

--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -427,6 +427,32 @@
 TROUBLE = st.tuples(st.sampled_from(KINDS), st.integers(0, 4), st.integers(0, 4), st.floats(200, 6000))
 
 
+@pytest.mark.parametrize("letter", ["x", "\u00e9"])
+def test_a_datagram_stays_under_its_bound_with_every_field_at_its_largest(letter):
+    """One entry that fits in no datagram must not keep all others from going out."""
+    size = len(letter.encode())
+    name = letter * (64 // size)
+    top = wire.NUMBER_MOST
+    one = machine(name=name, address=name, zone=name, life=top - 5, index=65535)
+    one.incarnation, one.counter = top, top - 1000
+    peer = Peer(one, name="b", life=top)
+    others = [
+        Entry(f"{n:02d}{letter * (62 // size)}", name, name, 65535, top, top, n % 3, name) for n in range(20)
+    ]
+    seen: set[str] = set()
+    for number in range(80):
+        for action in [
+            *peer.say(number=top - number, entries=others, to="", target=name),
+            *peer.pass_time(peer.now + 1000.0),
+        ]:
+            if isinstance(action, m.Tell):
+                data = wire.seal(action.message, b"k" * 32)
+                assert len(data) <= wire.DATAGRAM_MOST
+                assert wire.unseal(data, [b"k" * 32]) == action.message
+                seen |= {entry.name for entry in action.message.entries}
+    assert len(seen) >= 20
+
+
 class Deafened(Machine):
     """Refutes nothing."""
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -162,6 +162,10 @@
         (tmp_path / "open").chmod(0o644)
         with pytest.raises(FleetError, match="chmod 600"):
             await Node(config(tmp_path, "one", keys=str(tmp_path / "open")), clock).open()
+        with pytest.raises(FleetError, match=r"gateway, name is .* 64 bytes"):
+            await Node(config(tmp_path, "n" * 65), clock).open()
+        with pytest.raises(FleetError, match="give HOST:PORT"):
+            await Node(config(tmp_path, "one", advertise="here"), clock).open()
         one = Node(config(tmp_path, "one"), clock)
         await one.open()
         with pytest.raises(FleetError, match="see fleet, listen"):
--- a/tests/test_fleet_wire.py
+++ b/tests/test_fleet_wire.py
@@ -88,6 +88,15 @@
         assert reason(sealed(fields)) == want, value
 
 
+def test_bounds_of_entries_are_in_bytes():
+    entry = msgspec.to_builtins(ENTRY)
+    for at in (0, 1, 2, 7):
+        for text, want in (("\u20ac" * 21, ""), ("\u20ac" * 22, "fields")):
+            fields = msgspec.to_builtins(MESSAGE)
+            fields[8] = [[text if n == at else value for n, value in enumerate(entry)]]
+            assert reason(sealed(fields)) == want
+
+
 def test_two_versions_side_by_side():
     """A later version adds fields at ends, and kinds: the first are passed over, the second dropped and counted."""
     fields = msgspec.to_builtins(MESSAGE)
--- a/winchdyke/fleet/members/machine.py
+++ b/winchdyke/fleet/members/machine.py
@@ -25,7 +25,9 @@
 STEP = (
     1 << 16
 )  # between the lives of one name where the clock does not tell them apart: the low bits are drawn
-ENTRY_ROOM = wire.DATAGRAM_MOST - wire.HEAD - 2 * wire.NAME_MOST - wire.NAME_MOST - 48
+ENTRY_ROOM = (
+    wire.DATAGRAM_MOST - wire.HEAD - 3 * (wire.NAME_MOST + 2) - 4 * 9 - 12
+)  # beside the other fields at their largest
 NACK_PART = 0.8  # of a helper's time-out, after which it says that it waits as well
 LOOK_MS = 100.0  # between looks at what only time changes
 LEAVE_TELLS = 3  # members that hear a leave straight from who leaves
--- a/winchdyke/fleet/node.py
+++ b/winchdyke/fleet/node.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import struct
 import time
@@ -30,6 +31,7 @@
 STREAMS = 8  # exchanges under way at once, each way
 STREAM_S = 2.0  # for one exchange to end
 BURST = 256  # datagrams read at one turn
+WAITING = 1024  # that may wait for the next one
 RECEIVE = 1 << 18  # bytes of the socket's own buffer asked for
 SAVE_S = 2.0  # between writes of the members to the disk
 HISTORY = 500  # notes kept for people
@@ -87,10 +89,28 @@
                 f"can't listen at {listen.host}:{listen.port}: {error.strerror}; see fleet, listen"
             ) from error
         self.address = str(host), int(port)
-        self.machine = self._machine()
+        try:
+            self.machine = self._machine()
+        except FleetError:
+            await self.close()
+            raise
 
     def _machine(self) -> m.Machine:
         gateway, fleet = self.config.gateway, self.fleet
+        said = (
+            ("gateway, name", gateway.name),
+            ("gateway, zone", gateway.zone),
+            ("fleet, advertise", fleet.advertise),
+        )
+        for what, text in said:
+            if len(text.encode()) > wire.NAME_MOST:
+                raise FleetError(
+                    f"{what} is {text!r}: other gateways take {wire.NAME_MOST} bytes; make it shorter"
+                )
+        if fleet.advertise and not re.fullmatch(r".+:[0-9]{1,5}", fleet.advertise):
+            raise FleetError(f"fleet, advertise is {fleet.advertise!r}: give HOST:PORT")
+        if not 0 <= gateway.index <= 65535:
+            raise FleetError(f"gateway, index is {gateway.index}: other gateways take 0 to 65535")
         life = int(time.time() * 1000) << 16
         seeds = [_shown(where) for where in (*fleet.seeds, *(address for _, address in self.config.peers))]
         if fleet.keep:
@@ -261,6 +281,9 @@
             except OSError:
                 self.counts["udp-error"] += 1  # the answer of a host to what was sent there before
                 continue
+            if self.over or len(self._happened) >= WAITING:
+                self.counts["dropped:overrun"] += 1
+                continue
             message = self._opened(data, wire.DATAGRAM_MOST)
             if message is not None:
                 self._happened.append(m.Arrived(message, _shown(where[:2])))
--- a/winchdyke/fleet/wire.py
+++ b/winchdyke/fleet/wire.py
@@ -21,6 +21,7 @@
 
 MAGIC, VERSION, TAG = b"WF", 1, 16
 HEAD = len(MAGIC) + 2 + TAG
+ENTRY_MOST = 4 * (64 + 2) + 3 * 9 + 6  # bytes of the largest entry
 DATAGRAM_MOST = 1200  # bytes: under the least path MTU that IPv6 promises (1,280) with its headers and UDP's
 EXCHANGE_MOST = 1 << 20  # bytes of a full exchange
 NAME_MOST, ADDRESS_MOST = 64, 64
@@ -128,6 +129,10 @@
         envelope = _decoder.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         raise Dropped("fields") from None
+    for entry in envelope.entries:
+        # The bounds above count characters; what rides on in datagrams is bounded in bytes.
+        if any(len(text.encode()) > NAME_MOST for text in (entry.name, entry.address, entry.zone, entry.by)):
+            raise Dropped("fields")
     if envelope.kind not in KINDS:
         raise Dropped("kind")  # a later version's: its entries are left alone, too
     return envelope
