--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 
 from winchdyke.fleet import wire
+from winchdyke.fleet.members import events
 from winchdyke.fleet.members import machine as m
 from winchdyke.fleet.members.book import Member, said
 from winchdyke.fleet.members.bounds import Bounds
@@ -48,7 +49,7 @@
     def _woke(self, late: float) -> None:
         pass
 
-    def _answer(self, message: wire.Envelope, what: m.Arrived, kind: wire.Kind, age: int) -> None:
+    def _answer(self, message: wire.Envelope, what: events.Arrived, kind: wire.Kind, age: int) -> None:
         pass
 
     def _learn(self, entry: wire.Entry, teller: str) -> None:
--- a/fuzz/datagrams.py
+++ b/fuzz/datagrams.py
@@ -14,6 +14,7 @@
 
 with atheris.instrument_imports(include=["winchdyke.fleet"]):
     from winchdyke.fleet import wire
+    from winchdyke.fleet.members import events
     from winchdyke.fleet.members import machine as m
     from winchdyke.fleet.members.bounds import Bounds
 
@@ -34,7 +35,7 @@
         else:
             raise AssertionError("taken without the key")
         return
-    machine = m.Machine(m.Own("a", "127.0.0.1:1", "z", 0, 5 << 16, 3), BOUNDS, 1, 0.0)
+    machine = m.Machine(events.Own("a", "127.0.0.1:1", "z", 0, 5 << 16, 3), BOUNDS, 1, 0.0)
     now = 0.0
     for body in data[1:].split(b"\xff\xff")[:16]:
         now += 100.0 * (1 + data[0] % 7)
@@ -42,11 +43,11 @@
             message = wire.unseal(HEAD + wire._tag(SECRET, HEAD, body) + body, [SECRET])
         except wire.Dropped:
             message = None
-        happened: list[m.Arrived | m.Exchanged] = []
+        happened: list[events.Arrived | events.Exchanged] = []
         if message is not None:
-            happened.append(m.Arrived(message, "127.0.0.1:2", stream=message.kind == wire.Kind.EXCHANGE))
+            happened.append(events.Arrived(message, "127.0.0.1:2", stream=message.kind == wire.Kind.EXCHANGE))
         for action in machine.handle(now, happened):
-            if isinstance(action, m.Tell):
+            if isinstance(action, events.Tell):
                 assert len(wire.seal(action.message, SECRET)) <= wire.DATAGRAM_MOST
         machine.view(now)
         assert len(machine.book.members) <= BOUNDS.members_most
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -7,9 +7,11 @@
 from hypothesis import strategies as st
 
 from winchdyke.fleet import wire
+from winchdyke.fleet.members import events
 from winchdyke.fleet.members import machine as m
 from winchdyke.fleet.members.bounds import Bounds
-from winchdyke.fleet.members.machine import Machine, Own
+from winchdyke.fleet.members.events import Own
+from winchdyke.fleet.members.machine import Machine
 from winchdyke.fleet.wire import Entry, Envelope, Kind, State
 from winchdyke.model.fleet import Fleet, Links
 
@@ -248,7 +250,7 @@
 
     def say(
         self, kind: Kind = Kind.PING, number: int = 1, entries: list[Entry] | None = None, **more: object
-    ) -> list[m.Action]:
+    ) -> list[events.Action]:
         self.counter += 1
         mine = [entry(self.name, life=self.life), *(entries or [])]
         fields = {
@@ -259,12 +261,12 @@
             "kind": int(kind),
         }
         message = Envelope(**{**fields, "number": number, "entries": mine, **more})  # type: ignore[arg-type]
-        return self.to.handle(self.now, [m.Arrived(message, f"at-{self.name}")])
+        return self.to.handle(self.now, [events.Arrived(message, f"at-{self.name}")])
 
     def state(self, name: str) -> State:
         return self.to.book.members[name].state
 
-    def pass_time(self, until: float) -> list[m.Action]:
+    def pass_time(self, until: float) -> list[events.Action]:
         told = []
         while self.now < until:
             self.now = min(until, self.now + 50.0)
@@ -280,7 +282,7 @@
         mine = [
             e
             for action in told
-            if isinstance(action, m.Tell)
+            if isinstance(action, events.Tell)
             for e in action.message.entries
             if e.name == "a"
         ]
@@ -306,7 +308,7 @@
     life, one.counter = one.life, wire.NUMBER_MOST
     told = peer.say()
     assert one.life > life
-    assert all(action.message.counter < 100 for action in told if isinstance(action, m.Tell))
+    assert all(action.message.counter < 100 for action in told if isinstance(action, events.Tell))
 
 
 def test_who_answers_probes_for_a_dead_member_does_not_keep_it():
@@ -316,7 +318,7 @@
     peer.say(entries=[entry("c")])
     for _ in range(200):
         for action in peer.pass_time(peer.now + 100.0):
-            if isinstance(action, m.Tell) and action.message.kind == Kind.PING:
+            if isinstance(action, events.Tell) and action.message.kind == Kind.PING:
                 peer.say(Kind.ACK, action.message.number)  # b, whoever was asked
     assert peer.state("c") is State.DEAD and peer.state("b") is State.ALIVE
 
@@ -325,7 +327,7 @@
     one = machine()
     told = Peer(one).say(to="x")
     assert one.counts["misaddressed"] == 1 and not [
-        a for a in told if isinstance(a, m.Tell) and a.message.kind == Kind.ACK
+        a for a in told if isinstance(a, events.Tell) and a.message.kind == Kind.ACK
     ]
 
 
@@ -341,7 +343,7 @@
 def test_a_flood_of_valid_datagrams_is_dropped_past_its_rate():
     one = machine()
     peer = Peer(one)
-    answered = sum(isinstance(action, m.Tell) for _ in range(3000) for action in peer.say())
+    answered = sum(isinstance(action, events.Tell) for _ in range(3000) for action in peer.say())
     assert answered < 600 and one.counts["flood"] > 2000
 
 
@@ -352,7 +354,7 @@
     liar.say(entries=[entry("b", State.DEAD, 1, 0, "l")])
     assert peer.state("b") is State.SUSPECT  # a suspicion, which runs only as long as b says nothing
     told = peer.say()
-    accused = [e for a in told if isinstance(a, m.Tell) for e in a.message.entries if e.name == "b"]
+    accused = [e for a in told if isinstance(a, events.Tell) for e in a.message.entries if e.name == "b"]
     assert accused and accused[0].state == State.SUSPECT
     for _ in range(40):
         peer.pass_time(peer.now + 500.0)
@@ -365,11 +367,11 @@
     peer = Peer(one)
     other = Entry("a", "at-elsewhere", "z", 0, 99 << 16, 0, int(State.ALIVE), "")
     told = peer.say(entries=[other])
-    asked = [a for a in told if isinstance(a, m.Tell) and a.address == "at-elsewhere"]
+    asked = [a for a in told if isinstance(a, events.Tell) and a.address == "at-elsewhere"]
     assert len(asked) == 1  # is it there? a word alone may be of a process before this one
     twin = Peer(one, "a", 99 << 16)
     told = twin.say(Kind.ACK, asked[0].message.number)
-    assert [a for a in told if isinstance(a, m.Leave)] and one.left
+    assert [a for a in told if isinstance(a, events.Leave)] and one.left
     assert not peer.say()  # nothing is done after it
 
 
@@ -384,7 +386,7 @@
 def test_an_index_that_the_settings_do_not_know_is_said_and_shown():
     one = machine()
     told = Peer(one).say(entries=[Entry("x", "at-x", "z", 9, 1, 0, 0, "")])
-    assert "index-unknown" in [a.code for a in told if isinstance(a, m.Note)]
+    assert "index-unknown" in [a.code for a in told if isinstance(a, events.Note)]
     assert next(seen.known for seen in one.view(0.0).members if seen.name == "x") is False
 
 
@@ -445,7 +447,7 @@
             *peer.say(number=top - number, entries=others, to="", target=name),
             *peer.pass_time(peer.now + 1000.0),
         ]:
-            if isinstance(action, m.Tell):
+            if isinstance(action, events.Tell):
                 data = wire.seal(action.message, b"k" * 32)
                 assert len(data) <= wire.DATAGRAM_MOST
                 assert wire.unseal(data, [b"k" * 32]) == action.message
--- a/winchdyke/fleet/node.py
+++ b/winchdyke/fleet/node.py
@@ -23,6 +23,7 @@
 from winchdyke.admin.keys import KeysError, Ring
 from winchdyke.config.model import Config
 from winchdyke.fleet import disk, wire
+from winchdyke.fleet.members import events
 from winchdyke.fleet.members import machine as m
 from winchdyke.fleet.members.bounds import Bounds
 from winchdyke.fleet.members.view import View
@@ -58,7 +59,7 @@
         self.machine: m.Machine | None = None
         self.changed: Callable[[View], None] = lambda _: None
         self._version = -1
-        self._happened: list[m.Arrived | m.Exchanged] = []
+        self._happened: list[events.Arrived | events.Exchanged] = []
         self._wake = anyio.Event()
         self._streams = anyio.Semaphore(STREAMS)
         self._group: TaskGroup | None = None
@@ -121,7 +122,7 @@
                 if kept.own == gateway.name:
                     life = max(life, (kept.life // m.STEP + 1) * m.STEP)
                 seeds += [each.address for each in kept.members if each.name != gateway.name]
-        own = m.Own(
+        own = events.Own(
             name=gateway.name,
             address=fleet.advertise or _shown(self.address),
             zone=gateway.zone,
@@ -236,20 +237,20 @@
             self._version = view.version
             self.changed(view)
 
-    def _carry_out(self, actions: list[m.Action]) -> None:
+    def _carry_out(self, actions: list[events.Action]) -> None:
         for action in actions:
-            if isinstance(action, m.Tell):
+            if isinstance(action, events.Tell):
                 self._send(action)
-            elif isinstance(action, m.Exchange):
+            elif isinstance(action, events.Exchange):
                 assert self._group is not None
                 self._group.start_soon(self._exchange, action)
-            elif isinstance(action, m.Note):
+            elif isinstance(action, events.Note):
                 self._note(action)
-            elif isinstance(action, m.Leave):
+            elif isinstance(action, events.Leave):
                 self._log.error("fleet", trouble=action.why)
                 self.over = True
 
-    def _note(self, note: m.Note) -> None:
+    def _note(self, note: events.Note) -> None:
         row: dict[str, object] = {
             "unix_ms": round(time.time() * 1000),
             "code": note.code,
@@ -286,7 +287,7 @@
                 continue
             message = self._opened(data, wire.DATAGRAM_MOST)
             if message is not None:
-                self._happened.append(m.Arrived(message, _shown(where[:2])))
+                self._happened.append(events.Arrived(message, _shown(where[:2])))
 
     def _opened(self, data: bytes, most: int) -> wire.Envelope | None:
         try:
@@ -299,7 +300,7 @@
                 self._log.warning("fleet", trouble="a message was dropped", reason=dropped.reason)
             return None
 
-    def _send(self, action: m.Tell) -> None:
+    def _send(self, action: events.Tell) -> None:
         host, _, port = action.address.rpartition(":")
         data = wire.seal(action.message, self._secrets[0])
         self.counts["sent"] += 1
@@ -312,7 +313,7 @@
 
     # Exchanges over TCP.
 
-    async def _exchange(self, action: m.Exchange) -> None:
+    async def _exchange(self, action: events.Exchange) -> None:
         message: wire.Envelope | None = None
         host, _, port = action.address.rpartition(":")
         try:
@@ -324,7 +325,7 @@
                     message = await self._receive(stream)
         except (OSError, ValueError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
-        self._happened.append(m.Exchanged(action.address, action.message.number, message))
+        self._happened.append(events.Exchanged(action.address, action.message.number, message))
         self._wake.set()
 
     async def _receive(self, stream: SocketStream) -> wire.Envelope | None:
@@ -370,9 +371,9 @@
             return
         assert self.machine is not None
         where = _shown(stream.extra(SocketAttribute.remote_address)[:2])
-        actions = self.machine.handle(self.clock(), [m.Arrived(message, where, True)])
-        replies = [action.message for action in actions if isinstance(action, m.Reply)]
-        self._carry_out([action for action in actions if not isinstance(action, m.Reply)])
+        actions = self.machine.handle(self.clock(), [events.Arrived(message, where, True)])
+        replies = [action.message for action in actions if isinstance(action, events.Reply)]
+        self._carry_out([action for action in actions if not isinstance(action, events.Reply)])
         for reply in replies[:1]:
             data = wire.seal(reply, self._secrets[0])
             self.counts["sent-bytes"] += len(data)
--- a/winchdyke/model/fleet.py
+++ b/winchdyke/model/fleet.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass, field
 
 from winchdyke.fleet import wire
-from winchdyke.fleet.members import machine as m
+from winchdyke.fleet.members import events
 from winchdyke.fleet.members.bounds import Bounds
-from winchdyke.fleet.members.machine import Machine, Own
+from winchdyke.fleet.members.events import Own
+from winchdyke.fleet.members.machine import Machine
 
 UDP_IP, TCP_SETUP = 28, 400  # bytes around a datagram, and of a short TCP connection beside what it carries
 SECRET = b"the model's key, sixteen or more"
@@ -51,7 +52,7 @@
     ended: float | None = None
     paused_until: float = 0.0
     forgets: bool = False  # what comes while it stands still is lost, as where its host has no room for it
-    waiting: list[m.Arrived | m.Exchanged] = field(default_factory=list)
+    waiting: list[events.Arrived | events.Exchanged] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -85,7 +86,7 @@
         self.lives: dict[str, Life] = {}
         self.past: list[Life] = []
         self.told: list[Told] = []
-        self.notes: list[tuple[float, str, m.Note]] = []
+        self.notes: list[tuple[float, str, events.Note]] = []
         self.bytes: dict[str, dict[int, int]] = defaultdict(lambda: defaultdict(int))
         self.largest = 0
         self._before: dict[str, dict[str, tuple[str, int]]] = defaultdict(dict)
@@ -204,24 +205,24 @@
         if not happened:
             self._wake(life)
 
-    def _hand(self, life: Life, what: m.Arrived | m.Exchanged) -> None:
+    def _hand(self, life: Life, what: events.Arrived | events.Exchanged) -> None:
         if self.lives.get(life.name) is not life:
             return
         if self.now < life.paused_until:
-            if not life.forgets or isinstance(what, m.Exchanged):
+            if not life.forgets or isinstance(what, events.Exchanged):
                 life.waiting.append(what)
             return
         self._do(life, life.machine.handle(self.now, [what]))
 
-    def _do(self, life: Life, actions: Iterable[m.Action]) -> None:
+    def _do(self, life: Life, actions: Iterable[events.Action]) -> None:
         for action in actions:
-            if isinstance(action, m.Tell):
+            if isinstance(action, events.Tell):
                 self._datagram(life.name, action.address, action.message)
-            elif isinstance(action, m.Exchange):
+            elif isinstance(action, events.Exchange):
                 self._stream(life, action.address, action.message)
-            elif isinstance(action, m.Note):
+            elif isinstance(action, events.Note):
                 self.notes.append((self.now, life.name, action))
-            elif isinstance(action, m.Leave):
+            elif isinstance(action, events.Leave):
                 self.kill(life.name)
         view = life.machine.view(self.now)
         if view.version != self._versions.get(life.name):
@@ -261,7 +262,7 @@
     def _datagram_comes(self, to: str, data: bytes, address: str) -> None:
         life = self.lives.get(to)
         if life is not None:
-            self._hand(life, m.Arrived(wire.unseal(data, [SECRET]), address))
+            self._hand(life, events.Arrived(wire.unseal(data, [SECRET]), address))
 
     def _stream(self, life: Life, address: str, message: wire.Envelope) -> None:
         links, to = self.links, address.removeprefix("at-")
@@ -269,7 +270,7 @@
         self._count(life.name, size + TCP_SETUP)
 
         def ended(answer: wire.Envelope | None) -> None:
-            self._hand(life, m.Exchanged(address, message.number, answer))
+            self._hand(life, events.Exchanged(address, message.number, answer))
 
         def comes() -> None:
             other = self.lives.get(to)
@@ -277,8 +278,8 @@
             if not there or other is None or self.now < other.paused_until:
                 self.at(self.now + self.bounds.timeout, lambda: ended(None))
                 return
-            told = other.machine.handle(self.now, [m.Arrived(message, self._address(life.name), True)])
-            replies = [action.message for action in told if isinstance(action, m.Reply)]
+            told = other.machine.handle(self.now, [events.Arrived(message, self._address(life.name), True)])
+            replies = [action.message for action in told if isinstance(action, events.Reply)]
             self._do(other, told)
             for reply in replies[:1]:
                 self._count(to, len(wire.seal(reply, SECRET)))
