--- a/benchmarks/two_settings.py
+++ b/benchmarks/two_settings.py
@@ -1,13 +1,15 @@
 """Two settings of a gateway against each other in one run, requests a second and CPU for a request:
 
-5,000 volumes and 2,000 routes against a handful (``large``); accounts kept against none (``accounts``).
+5,000 volumes and 2,000 routes against a handful (``large``); accounts kept against none (``accounts``); 23 other members of a
+fleet against none (``fleet``).
 
-python benchmarks/two_settings.py large|accounts [--rounds N] [--seconds S]
+python benchmarks/two_settings.py large|accounts|fleet [--rounds N] [--seconds S]
 """
 
 from __future__ import annotations
 
 import argparse
+import base64
 import statistics
 import subprocess
 import sys
@@ -19,10 +21,12 @@
 import gateway as bench
 
 from winchdyke.accounts.ledger import Recovered, read
+from winchdyke.admin import keys
 from winchdyke.standins.nodelist import ListService
 from winchdyke.standins.record import Record
 
 PATH = "/course-x17/part-5/k-"
+PEERS = 23
 
 
 async def run(what: str, rounds: int, seconds: float, where: Path) -> None:
@@ -30,6 +34,11 @@
     settings.PLANS, settings.CLASSES = ("plain",), ("fetch", "submit")
     if what == "large":
         more = {"without": "", "with": settings.many(5000, 2000).replace("class = submit", "class = fetch")}
+    elif what == "fleet":
+        secret = base64.b64encode(bytes(32)).decode()
+        keys.write(where / "fleet.keys", [keys.Key("fleet", secret, "fleet")])
+        text = f'fleet {{\n    listen = 127.0.0.1:0\n    keys = "{where}/fleet.keys"\n}}\n'
+        more = {"without": "", "with": text}
     else:
         more = {"without": "", "with": f'accounts {{\n    folder = "{where}/ledger"\n}}\n'}
     processes: list[subprocess.Popen] = []
@@ -58,6 +67,12 @@
                 while not port_file.exists():
                     await anyio.sleep(0.05)
                 ports[name] = int(port_file.read_text().strip().rpartition(":")[2])
+            if what == "fleet":
+                port = (where / "with.port.fleet").read_text().strip().rpartition(":")[2]
+                command = [sys.executable, str(bench.HERE / "peers.py"), str(where), str(PEERS), port]
+                processes.append(subprocess.Popen(command, stderr=subprocess.DEVNULL))
+                while not (where / "peers.ready").exists():
+                    await anyio.sleep(0.1)
             await anyio.sleep(0.5)
             await anyio.to_thread.run_sync(measured, ports, pids, rounds, seconds)
             if what == "accounts":
@@ -100,7 +115,7 @@
 
 def main() -> None:
     words = argparse.ArgumentParser(description=__doc__)
-    words.add_argument("what", choices=("large", "accounts"))
+    words.add_argument("what", choices=("large", "accounts", "fleet"))
     words.add_argument("--rounds", type=int, default=9)
     words.add_argument("--seconds", type=float, default=2.0)
     chosen = words.parse_args()
--- a/winchdyke/fleet/members/machine.py
+++ b/winchdyke/fleet/members/machine.py
@@ -205,8 +205,10 @@
                 self._tell(probe.for_whom, Kind.ACK, probe.for_number, target=probe.name, age=message.age)
                 del self._probes[probe.number]
                 return
-            if member is not None and self.book.links(member, Link.BOTH, self.now):
-                self._linked(member)
+            if member is not None:
+                untried = member.link is Link.UNTRIED  # as it should be: no news for people
+                if self.book.links(member, Link.BOTH, self.now) and not untried:
+                    self._linked(member)
             if not probe.done and self.now <= probe.direct_due:
                 self.health.better()
             probe.done = True
