Detection's bound counts the gateways' own slowness, which is four times at the most

Checked in the logs: the first suspicion came 4.2 s after the kill, 21 intervals; 20% of datagrams were lost, one member was stopped and one cut off, so that all others doubted themselves. At fault: Bounds.detected, which left the local health out, and health_most = 8, which lets a round take nine times as long.

--- a/winchdyke/fleet/members/bounds.py
+++ b/winchdyke/fleet/members/bounds.py
@@ -20,7 +20,7 @@
     suspicion: float = 3.0  # intervals times log10 of the members: the least time to refute
     patience: float = 4.0  # times the least: the time to refute where nobody else suspects
     confirmations: int = 3  # others' suspicions after which the least time holds
-    health_most: int = 8  # of the local health, which lengthens the own interval and time-outs
+    health_most: int = 3  # of the local health, which lengthens the own interval and time-outs
     spread: float = 4.0  # times log10 of the members: how often one entry is sent on
     exchange: float = 30_000.0  # between full exchanges with one member
     retry: float = 1000.0  # first gap between tries to reach seeds, or members that are dead
@@ -60,10 +60,12 @@
         """ms within which all that can be reached call a killed member dead, but for e to the minus ``rounds`` of deaths.
 
         Until somebody probes it: each of n members draws one of n - 1 a round, so that none has after r rounds with a chance
-        of e^-r at the most. Then one interval for the probe, the longest suspicion (each later one of others shortens it), and the
-        word's way: log2(n) rounds and two.
+        of e^-r at the most; a round and its probe take up to 1 + ``health_most`` intervals, where loss, sleep or the deaths of helpers
+        make members doubt themselves. Then the longest suspicion (each later one of others shortens it), and the word's way:
+        log2(n) rounds and two.
         """
-        return (rounds + 1 + math.log2(max(2, members)) + 2) * self.interval + self.most(members)
+        slow = (1 + self.health_most) * (rounds + 1)
+        return (slow + math.log2(max(2, members)) + 2) * self.interval + self.most(members)
 
     def agreed(self, members: int) -> float:
         """ms after the last trouble within which all views are equal, with the chance above: dead members are tried
