fleet: state that nobody reads is taken out

Need: read once more, Member.proven was set and never read, view.unknown had no caller, and _learn_own had one state. Change: the first two are gone, the third is _clear. Measured: ruff, mypy and the tests of members and wire pass; behaviour as before.

--- a/winchdyke/fleet/members/book.py
+++ b/winchdyke/fleet/members/book.py
@@ -58,7 +58,6 @@
     window: Window | None = None
     quota: float = FLOOD  # messages that it may still send now
     quota_at: float = -1e18
-    proven: bool = False  # it has answered a number that was drawn here: no replay can do that
 
     @property
     def name(self) -> str:
@@ -144,7 +143,6 @@
             return "earlier-life"
         if member.window is None or member.window.life < life:
             member.window = Window(life)
-            member.proven = False
         if life < member.window.life:
             return "earlier-life"
         if not member.window.takes(counter):
@@ -209,7 +207,7 @@
 
     def _reborn(self, member: Member) -> None:
         member.heard = member.answered = -1e18
-        member.link, member.proven, member.suspicion = Link.UNTRIED, False, None
+        member.link, member.suspicion = Link.UNTRIED, None
 
     def _changed(self, member: Member) -> Member:
         self.version += 1
--- a/winchdyke/fleet/members/machine.py
+++ b/winchdyke/fleet/members/machine.py
@@ -199,7 +199,7 @@
         if message.sender == probe.name:
             member = self.book.members.get(probe.name)
             if member is not None and message.life == member.entry.life:
-                member.answered, member.proven = self.now, True
+                member.answered = self.now
                 self._sight(member)
             if probe.for_whom:
                 self._tell(probe.for_whom, Kind.ACK, probe.for_number, target=probe.name, age=message.age)
@@ -429,14 +429,18 @@
         assert suspicion is not None
         if member.answered >= suspicion.since or member.heard >= suspicion.since:
             # Sight: it was heard since. It may not hear that it is accused; who does hear it keeps it.
-            self._learn_own(member, State.ALIVE)
+            self._clear(member)
             return
         self._learn(said(member.entry, State.DEAD, self.own.name), self.own.name)
 
-    def _learn_own(self, member: Member, state: State) -> None:
+    def _clear(self, member: Member) -> None:
         """By sight, here alone: not told on, since only the member itself clears its name for others."""
         before = member.entry
-        member.entry, member.suspicion, member.since = said(before, state, self.own.name), None, self.now
+        member.entry, member.suspicion, member.since = (
+            said(before, State.ALIVE, self.own.name),
+            None,
+            self.now,
+        )
         self.book.version += 1
         self.gossip.forget(member.name)
         self._note("alive", member.name, "heard here while others suspect it")
@@ -491,7 +495,6 @@
         if self.alone:
             self.alone = False
             self._note("joined", message.sender)
-        member.proven = True
         self._sight(member)
         probe = self._probes.get(what.number)
         if probe is not None and probe.name == message.sender:
--- a/winchdyke/fleet/members/view.py
+++ b/winchdyke/fleet/members/view.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from winchdyke.fleet.members.book import Link, Member
-from winchdyke.fleet.wire import Entry, State
+from winchdyke.fleet.wire import State
 
 TOGETHER_MS = 20_000.0  # what turns within so long of the one before belongs to one event
 LARGE, LEAST = 0.3, 3  # part of all members, and how many, that make an event
@@ -113,8 +113,3 @@
 
 def _lost(member: Member) -> bool:
     return member.state in (State.SUSPECT, State.DEAD) or member.link is Link.CUT
-
-
-def unknown(entry: Entry, gateways: int) -> bool:
-    """Whether the settings don't know a member's index."""
-    return bool(gateways) and entry.index >= gateways
