What was decided before and written after is called off: leaves, drains, restarts

Ruled out: the watch (lists there are pushed and were heard: the rule names a drain that was told) and the module (it sends to no node that drains: its tests). At fault: stores.py, Attempt.writable: a dial that comes up writes whatever was told since its decision; the settings allow a dial 1 s there. The same lines sent on what a client had left (test: close and reset).

Change: the module says CallOff for an attempt whose client has left, whose node drains, has left or started anew; the platform takes back what is not written whole, which never ran, and the simulator's adapter drops it (a send is at once there).

--- /dev/null
+++ b/tests/test_crossings_watches.py
@@ -0,0 +1,279 @@
+"""Watches that fall silent, break off, come late or begin anew: which stores are sent to judges."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from test_platform import config
+from test_platform_sockets import Site, Store, answer, discovery, free_port, good, port_of, site, until
+
+from winchdyke.platform import discovery as watching
+from winchdyke.platform import environment, service, wire
+from winchdyke.platform.service import Gateway
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def said(it: Site, version: int, full: bool = False, **changes: Any) -> dict[str, Any]:
+    return {"version": version, "full": full, "servers": [{**it.entry, **changes}]}
+
+
+def test_a_watch_falls_silent_and_a_new_one_is_heard_well_before_what_it_missed_counts_as_told(tmp_path):
+    """6 s after it fell silent, less a drain's grace: at 5 s and a look each second the new watch could come too late."""
+
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            began = time.monotonic()
+            await until(lambda: len(it.watches) == 2, 6.0)
+            assert 2.0 < time.monotonic() - began < 3.0, "longer than an empty line's 2 s, and not by much"
+            it.tell(2, state="terminating")
+            await until(lambda: it.gateway.follower.version == 2)
+            assert (await it.ask())[0] == 503 and not it.store.seen
+
+    asyncio.run(play())
+
+
+def test_a_watch_that_says_empty_lines_is_left_alone(tmp_path, monkeypatch):
+    monkeypatch.setattr(watching, "SILENT_S", 0.3)
+    monkeypatch.setattr(watching, "LOOK_S", 0.02)
+
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            for _ in range(10):
+                it.watches[0].write(chunk(b"\n"))
+                await asyncio.sleep(0.1)
+            assert len(it.watches) == 1
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("size", [1, 7, 64, 100_000])
+def test_an_object_comes_over_several_lines_and_in_pieces(tmp_path, size):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            told = said(it, 2, state="terminating", note='with "{" and \\ in it')
+            text = json.dumps(told, indent=2).encode() + b"\n"
+            for at in range(0, len(text), size):
+                it.watches[0].write(chunk(text[at : at + size]))
+            await until(lambda: it.gateway.follower.version == 2)
+            assert len(it.watches) == 1 and (await it.ask())[0] == 503 and not it.store.seen
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "text", [b"{no\n", b'{"version": 2,\n  oh no\n\n', b'{"a": [\n{\n\n', b"[1]\n", b"nonsense\n"]
+)
+def test_what_cannot_become_an_object_is_told_by_its_lines(text):
+    objects = wire.Objects()
+    with pytest.raises(wire.ListFault):
+        objects.feed(text)
+
+
+def test_a_watch_is_reset_in_the_middle_of_an_object_and_the_next_asks_after_what_is_held(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            text = json.dumps(said(it, 2, state="terminating"), indent=1).encode()
+            it.watches[0].write(chunk(text[:40]))
+            await it.watches[0].drain()
+            it.watches[0].transport.abort()
+            await until(lambda: len(it.watches) == 2)
+            assert it.gateway.follower.version == 1 and (await it.ask())[0] == 200
+            it.tell(2, state="terminating")
+            await until(lambda: it.gateway.follower.version == 2)
+            assert (await it.ask())[0] == 503
+
+    asyncio.run(play())
+
+
+def test_a_whole_list_of_before_arrives_after_a_drain_was_told_and_brings_nothing_back(tmp_path):
+    """It was on its way on the new watch while the old one told of the drain."""
+
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            newer, info = list[asyncio.StreamWriter](), json.loads((tmp_path / "config.json").read_text())
+            silent = await discovery_that(newer, lambda writer: None)
+            info["discovery"] = f"127.0.0.1:{port_of(silent)}"
+            (tmp_path / "config.json").write_text(json.dumps(info))
+            it.gateway.reload()
+            await until(lambda: bool(newer))
+            it.tell(2, state="terminating")  # on the old watch
+            await until(lambda: it.gateway.follower.version == 2)
+            newer[0].write(HEAD + chunk(json.dumps(said(it, 1, full=True)).encode() + b"\n"))
+            await until(lambda: it.gateway.follower._old is None)
+            assert (await it.ask())[0] == 503 and not it.store.seen and it.gateway.follower.version == 2
+            silent.close()
+
+    asyncio.run(play())
+
+
+def test_the_numbers_begin_anew_with_a_whole_list_and_what_follows_is_heard(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            it.tell(9)
+            await until(lambda: it.gateway.follower.version == 9)
+            it.watches[0].transport.abort()
+            await until(lambda: len(it.watches) == 2)
+            it.watches[1].write(chunk(json.dumps(said(it, 1, full=True)).encode() + b"\n"))
+            it.tell(2, state="terminating")
+            await until(lambda: it.gateway.follower.version == 2)
+            assert (await it.ask())[0] == 503
+
+    asyncio.run(play())
+
+
+def test_the_numbers_begin_anew_with_a_change_and_the_whole_list_is_asked_for(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            it.tell(9)
+            await until(lambda: it.gateway.follower.version == 9)
+            it.watches[0].transport.abort()
+            await until(lambda: len(it.watches) == 2)
+            it.tell(3, state="terminating")
+            await until(lambda: len(it.watches) == 3)
+            assert it.gateway.follower._whole
+
+    asyncio.run(play())
+
+
+async def discovery_that(
+    watches: list[asyncio.StreamWriter], then: Callable[[asyncio.StreamWriter], None]
+) -> asyncio.Server:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        watches.append(writer)
+        then(writer)
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+def test_a_second_move_comes_before_the_first_has_spoken_and_the_watch_that_speaks_is_heard(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            silent = list[asyncio.StreamWriter]()
+            places = [await discovery_that(silent, lambda writer: None) for _ in range(2)]
+            for place in places:
+                it.gateway.follower.move(("127.0.0.1", port_of(place)))
+                await until(lambda: bool(silent))
+            it.tell(2, state="terminating")  # on the first of all, which still speaks
+            await until(lambda: it.gateway.follower.version == 2)
+            assert (await it.ask())[0] == 503
+            for place in places:
+                place.close()
+
+    asyncio.run(play())
+
+
+def test_a_discovery_that_speaks_and_ends_at_once_is_not_dialled_without_a_pause(tmp_path):
+    def say(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(b"\n") + chunk(b"{no\n"))
+
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            watches = list[asyncio.StreamWriter]()
+            bad = await discovery_that(watches, say)
+            it.gateway.follower.move(("127.0.0.1", port_of(bad)))
+            await asyncio.sleep(1.0)
+            assert 2 <= len(watches) <= 8 and (await it.ask())[0] == 200, "the last good list is kept"
+            bad.close()
+
+    asyncio.run(play())
+
+
+@asynccontextmanager
+async def started(path: Path, watches: list[asyncio.StreamWriter]) -> AsyncIterator[Site]:
+    """A gateway whose `known` names a store as in service, with a discovery that says nothing yet."""
+    store, lists = Store(good), await discovery_that(watches, lambda writer: None)
+    await store.start()
+    entry = {
+        "id": "s-1",
+        "addr": store.address,
+        "zone": "a",
+        "cell": 3,
+        "state": "in_service",
+        "started_ms": 0,
+    }
+    port = free_port()
+    variables = config(
+        path / "config.json",
+        listen=f"127.0.0.1:{port}",
+        discovery=f"127.0.0.1:{port_of(lists)}",
+        known={"version": 1, "full": True, "servers": [entry]},
+    )
+    os.environ["NODE_CONFIG"] = variables["NODE_CONFIG"]
+    gateway = Gateway(environment.read(variables), asyncio.get_running_loop())
+    serving = asyncio.ensure_future(gateway.run())
+    made = Site(gateway, store, watches, port)
+    made.entry = entry
+    try:
+        await until(lambda: bool(watches))
+        yield made
+    finally:
+        gateway.stop()
+        await asyncio.wait_for(serving, 10)
+        store.server.close()
+        lists.close()
+
+
+@pytest.mark.parametrize("drains", [True, False])
+def test_a_request_comes_to_a_new_process_before_discovery_has_spoken(tmp_path, drains, monkeypatch):
+    """What the agent has counts as told from the first moment; the list of an earlier life named a store that drains."""
+    monkeypatch.setattr(service, "START_S", 30.0)
+
+    async def play() -> None:
+        async with started(tmp_path, []) as it:
+            reader, writer = await it.open()
+            writer.write(it.request())
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            assert not it.store.seen
+            change = (
+                said(it, 2, state="terminating") if drains else {"version": 1, "full": False, "servers": []}
+            )
+            it.watches[0].write(HEAD + chunk(json.dumps(change).encode() + b"\n"))
+            assert (await answer(reader))[0] == (503 if drains else 200) and len(it.store.seen) == (
+                not drains
+            )
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_where_discovery_is_down_at_the_start_the_known_list_serves(tmp_path, monkeypatch):
+    monkeypatch.setattr(service, "START_S", 0.1)
+
+    async def play() -> None:
+        async with started(tmp_path, []) as it:
+            assert (await it.ask())[0] == 200
+
+    asyncio.run(play())
+
+
+def test_the_list_of_before_is_told_by_its_lines_also_where_discovery_moves_back(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            more = list[asyncio.StreamWriter]()
+            lists = await discovery(more)
+            home = it.gateway.follower.address
+            it.gateway.follower.move(("127.0.0.1", port_of(lists)))
+            await until(lambda: bool(more) and it.gateway.follower._old is None)
+            it.gateway.follower.move(home)
+            await until(lambda: len(it.watches) == 2)
+            it.tell(2, state="terminating")
+            await until(lambda: it.gateway.follower.version == 2)
+            assert (await it.ask())[0] == 503
+            lists.close()
+
+    asyncio.run(play())
--- a/winchdyke/benchlink.py
+++ b/winchdyke/benchlink.py
@@ -172,7 +172,9 @@
         """Let each instance that had events decide; the lines of the reply."""
         lines = []
         for who, events in self.events.items():
-            lines += [written(who, action) for action in self.schedulers[who].handle(self.now, events)]
+            actions = self.schedulers[who].handle(self.now, events)
+            # A send is written as it is decided here: there is nothing to call off before it.
+            lines += [written(who, action) for action in actions if not isinstance(action, api.CallOff)]
         self.events = {}
         return lines
 
--- a/winchdyke/gateway/engine.py
+++ b/winchdyke/gateway/engine.py
@@ -53,6 +53,7 @@
         "fault",
         "gone",
         "id",
+        "on_call_off",
         "on_cancel",
     )
 
@@ -63,6 +64,7 @@
         self.gone = self.closed = False
         self.fault = ""  # why the engine answered in the scheduler's place
         self.on_cancel: Callable[[int], None] | None = None
+        self.on_call_off: Callable[[int], None] | None = None
         self._wake: anyio.Event | None = None
 
     def tell(self, action: Told) -> None:
@@ -271,6 +273,10 @@
             ticket = self.tickets.get(action.request) or self.departed.get(action.request)
             if ticket is not None and ticket.on_cancel is not None:
                 ticket.on_cancel(action.attempt)
+        elif isinstance(action, api.CallOff):
+            ticket = self.tickets.get(action.request) or self.departed.get(action.request)
+            if ticket is not None and ticket.on_call_off is not None:
+                ticket.on_call_off(action.attempt)
         elif isinstance(action, api.WatchList):
             self.watch()
         else:
@@ -300,6 +306,12 @@
     def answer_all(self, why: str) -> None:
         """Answer all that is held, whatever the scheduler would say, and call off its attempts: the process ends."""
         for ticket in list(self.tickets.values()):
+            if ticket.on_cancel is not None:
+                ticket.on_cancel(
+                    -1
+                )  # an answer that lies in the socket is its client's: looked for before another is made
+            if ticket.closed:
+                continue
             self.counts[why] += 1
             self._answer(ticket, why, api.Fail(ticket.id) if ticket.attempts else api.Refuse(ticket.id))
             self.post(api.ClientGone(ticket.id))
--- a/winchdyke/interface.py
+++ b/winchdyke/interface.py
@@ -266,6 +266,14 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallOff:
+    """Give up one attempt that has not been written whole, which then never ran; one that has is let be."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class WatchList:
     """Ask the list service for all changes from now on."""
@@ -278,4 +286,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | SetTimer | Cancel | WatchList | Log
+Action = Send | Refuse | Fail | SetTimer | Cancel | CallOff | WatchList | Log
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -16,13 +16,17 @@
 from winchdyke.platform.room import Room
 
 HEAD_MOST = 16 * 1024
-AHEAD_MOST = 64 * 1024  # bytes taken in while an answer is owed, so that a client's leaving is seen
+AHEAD_MOST = (
+    64 * 1024
+)  # bytes kept while an answer is owed; what comes beyond is thrown away, and told behind the answers
 GRACE_MS = 150.0  # from a connection's start, in which its request is still on its way
 FIRST_MS = 2400.0  # from a connection's start, or from a request's first byte, to its whole request
 IDLE_MS = 2000.0  # between requests: some clients ask once and stay, and hold what others need
 WRITE_MS = 10_000.0  # for an answer to be taken by its client
-LINGER_MS = 800.0  # after an error, for its client to read it before the connection goes
-LINGER_MOST = 1024 * 1024  # bytes of the client's thrown away meanwhile
+LINGER_MS = 800.0  # after a last answer, for its client to read it before the connection goes
+LINGER_MOST = (
+    1024 * 1024
+)  # bytes of a client's thrown away meanwhile; while an answer is owed, between two looks
 LOOK_S = 0.1  # between looks at the times above
 ACCEPT_MOST = 16  # connections taken at one turn of the loop
 BACKLOG = 512
@@ -37,6 +41,7 @@
     OPEN = auto()  # a request is owed its answer
     WRITING = auto()  # an answer is being written
     LINGER = auto()  # an error was written; the client may read it
+    ENDING = auto()  # an answer that says close was written; what the client sends now is not read
     CLOSED = auto()
 
 
@@ -50,6 +55,7 @@
         "_codec",
         "_head",
         "_left",
+        "_over",
         "_paused",
         "_ports",
         "_thrown",
@@ -70,7 +76,7 @@
         self._body = bytearray()
         self._left: memoryview | None = None
         self._ahead = self._thrown = 0
-        self._paused = self.closing = False
+        self._paused = self._over = self.closing = False
         self.on_gone: Callable[[], None] | None = None
 
     def turn(self, state: State) -> None:
@@ -81,6 +87,10 @@
         """Bytes, or the end."""
         if self.state is State.CLOSED:
             return
+        if self.state is State.ENDING:
+            if not self.finished():
+                self._pause()  # what came is left lying: it is not taken, and its client sends it on a new connection
+            return
         try:
             data, self.came = sockets.receive(self.sock)
         except BlockingIOError:
@@ -96,13 +106,45 @@
         if not data:
             self.close()
             return
-        self._codec.feed(data)
         if self.state in (State.OPEN, State.WRITING):
             self._ahead += len(data)
-            if self._ahead > AHEAD_MOST:
-                self._paused = True
-                self._ports.loop.remove_reader(self.sock.fileno())
+            if self._ahead <= AHEAD_MOST and not self._over:
+                self._codec.feed(data)
+                return
+            # Guards against a client's leaving that nobody sees, behind bytes that nobody reads: what it asked for would be sent
+            # on. It hurts who sends so much ahead: what is beyond is never read, and told so.
+            self._over = True
+            self._thrown += len(data)
+            if self._thrown > LINGER_MOST:
+                self._pause()  # until the next look: one client must not have all of this gateway's time
             return
+        self._codec.feed(data)
+        self._advance()
+
+    def _pause(self) -> None:
+        if not self._paused:
+            self._paused = True
+            self._ports.loop.remove_reader(self.sock.fileno())
+
+    def resume(self) -> None:
+        """Go on reading."""
+        if self._paused:
+            self._paused, self._thrown = False, 0
+            self._ports.loop.add_reader(self.sock.fileno(), self.readable)
+
+    def finished(self) -> bool:
+        """Close where the client has read its last answer, which its own end tells; whether it has."""
+        if sockets.ended(self.sock):
+            self.close()
+        return self.state is State.CLOSED
+
+    @property
+    def unread(self) -> bool:
+        """Whether a next request's bytes were taken in and not looked at."""
+        return self.state is State.IDLE and self._codec.more
+
+    def advance(self) -> None:
+        """Go on with what was taken in."""
         self._advance()
 
     def _advance(self) -> None:
@@ -112,8 +154,7 @@
             if self._head is None:
                 head = self._codec.head()
                 if isinstance(head, Need):
-                    if self.state is State.IDLE:
-                        self.turn(State.READING)
+                    self._wait_for_more()
                     return
                 if head is None:
                     self.close()
@@ -131,8 +172,7 @@
             while not self._codec.body_done:
                 piece = self._codec.body()
                 if isinstance(piece, Need):
-                    if self.state is State.IDLE:
-                        self.turn(State.READING)
+                    self._wait_for_more()
                     return
                 if isinstance(piece, End):
                     break
@@ -153,6 +193,14 @@
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
 
+    def _wait_for_more(self) -> None:
+        if self._over:
+            raise ProtocolError(
+                413, "too-large", f"more than {AHEAD_MOST} bytes were sent ahead of an answer"
+            )
+        if self.state is State.IDLE:
+            self.turn(State.READING)
+
     def reject(self, status: int, reason: str, text: str) -> None:
         """Answer an error, and close once the client has had time to read it."""
         self._ports.counts[reason] += 1
@@ -164,9 +212,7 @@
             self.close()
             return
         self.turn(State.LINGER)
-        if self._paused:
-            self._paused = False
-            self._ports.loop.add_reader(self.sock.fileno(), self.readable)
+        self.resume()
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """The one answer to the request that is open."""
@@ -205,19 +251,34 @@
 
     def _answered(self) -> None:
         if self.closing or not self._codec.reusable:
-            self.close()
+            self._end()
             return
-        more = self._codec.more
+        more = self._codec.more or self._over
         self._codec.next_cycle()
         self._head, self._ahead = None, 0
         self.turn(State.IDLE)
         self._ports.trim()
-        if self._paused:
-            self._paused = False
-            self._ports.loop.add_reader(self.sock.fileno(), self.readable)
+        if not self._over:
+            self.resume()
         if more:
             self._ports.loop.call_soon(self._advance)  # others first: many requests may have come at once
 
+    def _end(self) -> None:
+        """No more is answered here."""
+        # Guards against an answer that a reset destroys on its way: closing a connection with bytes unread sends one, and
+        # clients send on each that is open. It hurts by a connection held until its client ends it.
+        if self._head is not None and self._head.target == wire.READY:
+            self.close()
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self.turn(State.ENDING)
+        self.resume()
+        self.readable()
+
     def overdue(self) -> None:
         """Its time is up: who has sent a part of a request is told so."""
         if self.state is State.READING:
@@ -255,18 +316,19 @@
         most: int,
     ) -> None:
         self.loop, self.clock, self.reader, self.take, self.most = loop, clock, reader, take, most
-        self._sock, self._accepting = sock, False
+        self._sock, self._accepting, self._waiting = sock, False, False
         self.closing = False  # every answer says that its connection ends
         self.keep_idle = False  # no new ones will come in the place of what is ended
         # By state, each in the order of its coming there: who has been silent longest stands first.
         self.by_state: dict[State, dict[Client, None]] = {state: {} for state in State}
         self.count, self._room = 0, Room(clock())
         self.counts: Counter[str] = Counter()
-        self.accept(True)
         loop.call_later(LOOK_S, self._look)
 
     def accept(self, on: bool) -> None:
         """Take connections, or leave them in the queue."""
+        if self._sock.fileno() < 0:
+            return
         if on and not self._accepting:
             self.loop.add_reader(self._sock.fileno(), self._arrived)
         elif not on and self._accepting:
@@ -279,26 +341,27 @@
         client.state, client.since = state, self.clock()
         if state is State.CLOSED:
             self.count -= 1
-            if not self._accepting and self._sock.fileno() >= 0:
-                self.accept(True)
+            if self._waiting:
+                self._go_on()
         else:
             self.by_state[state][client] = None
 
-    def _arrived(self) -> None:
+    def _arrived(self) -> bool:
+        """Take what stands in the queue; whether that was all."""
         for _ in range(ACCEPT_MOST):
             if self.count >= self.most and not self._make_room():
                 self._wait()  # every one is owed an answer, or has just come
-                return
+                return True
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
                 if error.errno in NO_DESCRIPTORS and not self._make_room():
                     self._wait()
-                    return
+                    return True
                 if error.errno not in (*NO_DESCRIPTORS, errno.ECONNABORTED):
-                    return
+                    return True
                 continue
             try:
                 sockets.stamped(sock)
@@ -310,11 +373,18 @@
             self.by_state[State.FRESH][client] = None
             self.loop.add_reader(sock.fileno(), client.readable)
             client.readable()
+        return False
 
     def _wait(self) -> None:
         """Leave the queue alone for a moment, or until a connection ends."""
         self.accept(False)
-        self.loop.call_later(LOOK_S / 2, self.accept, True)
+        self._waiting = True
+        self.loop.call_later(LOOK_S / 2, self._go_on)
+
+    def _go_on(self) -> None:
+        if self._waiting:
+            self._waiting = False
+            self.accept(True)
 
     def trim(self) -> None:
         """Close what is idle beyond what is worth keeping, the longest idle first."""
@@ -331,7 +401,7 @@
         # keeps a connection between requests: it makes a new one. Who has just come is let be: hundreds at a time
         # would else take those along whose request is on its way.
         young = self.clock() - GRACE_MS
-        for state in (State.LINGER, State.FRESH, State.READING, State.IDLE):
+        for state in (State.ENDING, State.LINGER, State.FRESH, State.READING, State.IDLE):
             for client in list(self.by_state[state]):
                 if state is State.FRESH and client.since > young:
                     break
@@ -343,11 +413,16 @@
 
     def _look(self) -> None:
         now = self.clock()
+        for client in list(self.by_state[State.ENDING]):
+            client.finished()
+        for client in [*self.by_state[State.OPEN], *self.by_state[State.WRITING]]:
+            client.resume()
         for state, most in (
             (State.FRESH, FIRST_MS),
             (State.READING, FIRST_MS),
             (State.IDLE, IDLE_MS),
             (State.LINGER, LINGER_MS),
+            (State.ENDING, LINGER_MS),
             (State.WRITING, WRITE_MS),
         ):
             if state is State.IDLE and self.keep_idle:
@@ -362,7 +437,9 @@
     def _unless_heard(client: Client, end: Callable[[Client], None]) -> bool:
         """End a connection unless what has come on it, which is read first, takes it on; whether it was ended."""
         state = client.state
-        if state not in (State.LINGER, State.WRITING) and not sockets.silent(client.sock):
+        if client.unread:
+            client.advance()
+        elif state not in (State.LINGER, State.ENDING, State.WRITING) and not sockets.silent(client.sock):
             client.readable()
         if client.state is not state:
             return False
@@ -378,3 +455,28 @@
         """Close what is between requests."""
         for client in list(self.by_state[State.IDLE]):
             self._unless_heard(client, Client.close)
+
+    @property
+    def unsettled(self) -> bool:
+        """Whether requests may be on their way in, or last answers on their way out."""
+        return any(self.by_state[s] for s in (State.FRESH, State.READING, State.LINGER, State.ENDING))
+
+    def look_last(self) -> bool:
+        """Take in all that has come; whether nothing is owed."""
+        while not self._arrived():
+            pass
+        for state in (State.FRESH, State.READING, State.IDLE):
+            for client in list(self.by_state[state]):
+                if client.unread:
+                    client.advance()
+                elif not sockets.silent(client.sock):
+                    client.readable()
+        return not self.busy
+
+    def close(self) -> None:
+        """Close all; who comes then is turned away by the system."""
+        self.accept(False)
+        self._sock.close()
+        for clients in self.by_state.values():
+            for client in list(clients):
+                client.close()
--- a/winchdyke/platform/discovery.py
+++ b/winchdyke/platform/discovery.py
@@ -11,20 +11,23 @@
 from winchdyke.platform import wire
 from winchdyke.platform.environment import Address
 
-SILENT_S = 5.0  # longer than two of the empty lines that come every 2 s
+# An empty line comes every 2 s, so that its absence is told at once. What a silent watch misses counts as told 6 s after it fell
+# silent, and what discovery has to tell at its return counts at once: each tenth later is one in which a drain is not known.
+SILENT_S = 2.25
+LOOK_S = 0.1  # between looks at the silence
 AGAIN_S, AGAIN_MOST_S = 0.05, 1.0  # from the second try in a row on; the first is at once
 HEAD_MOST = 16 * 1024
-LINE_MOST = 4 * 1024 * 1024  # of one object, held until it is whole
 
 
 class Watch(asyncio.Protocol):
     """One connection to discovery."""
 
-    def __init__(self, follower: Follower, target: bytes, whole: bool) -> None:
-        self._follower, self._target, self._whole = follower, target, whole
-        self._codec, self._head, self._line = ClientSide(HEAD_MOST), False, bytearray()
+    def __init__(self, follower: Follower, target: bytes, whole: bool, asked: int) -> None:
+        self._follower, self._target, self._whole, self.asked = follower, target, whole, asked
+        self._codec, self._head, self._list = ClientSide(HEAD_MOST), False, bytearray()
+        self._objects, self.spoke = wire.Objects(), False
         self.transport: asyncio.Transport | None = None
-        self.heard = follower.loop.time()
+        self.began = self.heard = follower.loop.time()
         self.over = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -56,19 +59,21 @@
                 raise wire.ListFault(f"discovery answered {head.status}")
             self._head = True
         while not self.over and not isinstance(piece := self._codec.body(), Need):
+            self.spoke = True
             if isinstance(piece, End):
                 if self._whole:
-                    self._follower.heard(self, wire.listing(bytes(self._line)))
+                    self._follower.heard(self, wire.listing(bytes(self._list)))
                 self._follower.lost(self, "ended")
                 return
-            self._line += piece
-            if len(self._line) > LINE_MOST:
-                raise wire.ListFault("a line has no end")
-            while not self._whole and not self.over and (at := self._line.find(b"\n")) >= 0:
-                line = bytes(self._line[:at]).strip()
-                del self._line[: at + 1]
-                if line:
-                    self._follower.heard(self, wire.listing(line))
+            if self._whole:
+                self._list += piece
+                if len(self._list) > wire.OBJECT_MOST:
+                    raise wire.ListFault("the list has no end")
+                continue
+            for news in self._objects.feed(piece):
+                if not self.over:
+                    self._follower.heard(self, news)
+            self._follower.heard_of(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The watch is over."""
@@ -96,19 +101,23 @@
         self._watch: Watch | None = None
         self._old: Watch | None = None  # at the address before; heard until the new one speaks
         self._whole, self._failures, self._stopped = False, 0, False
+        self.spoken: asyncio.Future[None] = loop.create_future()  # done with the first word ever
         self._task: asyncio.Task[None] | None = None
         self._log = structlog.get_logger("discovery")
         self._begin()
-        loop.call_later(1.0, self._look)
+        loop.call_later(LOOK_S, self._look)
 
     def move(self, address: Address) -> None:
         """Follow another address from now on."""
         if address == self.address:
             return
         self.address = address
-        if self._old is not None:
-            self._old.end()
-        self._old, self._watch, self._failures = self._watch, None, 0
+        # Guards against a second move before the first has spoken: the watch that is heard is the one that has spoken.
+        watch, self._watch, self._failures = self._watch, None, 0
+        keep, drop = (watch, self._old) if watch is not None and watch.spoke else (self._old, watch)
+        if drop is not None:
+            drop.end()
+        self._old = keep
         self._begin()
 
     def stop(self) -> None:
@@ -124,7 +133,7 @@
         if self._watch is not None:
             self._watch.end()
         target = wire.TARGETS if self._whole else wire.TARGETS + b"?watch=1&after=%d" % self.version
-        watch = self._watch = Watch(self, target, self._whole)
+        watch = self._watch = Watch(self, target, self._whole, self.version)
         self._task = self.loop.create_task(self._connect(watch))
 
     async def _connect(self, watch: Watch) -> None:
@@ -140,18 +149,28 @@
         watch = self._watch
         if watch is not None and self.loop.time() - watch.heard > SILENT_S:
             self.lost(watch, "silent")
-        self.loop.call_later(1.0, self._look)
+        self.loop.call_later(LOOK_S, self._look)
+
+    def heard_of(self, watch: Watch) -> None:
+        """A watch has spoken, be it that nothing is new."""
+        if watch is self._watch and self._old is not None:
+            self._old.end()
+            self._old = None
+        if not self.spoken.done():
+            self.spoken.set_result(None)
 
     def heard(self, watch: Watch, news: wire.Listing) -> None:
         """A list or a change."""
-        if watch is self._watch:
-            if self._old is not None:
-                self._old.end()
-                self._old = None
-            self._failures = 0
-        if not news.full and news.version <= self.version:
+        if news.version < watch.asked and not news.full:
+            # Guards against numbers that begin anew behind the gateway's back: it would take all changes for old ones.
+            raise wire.ListFault(f"changes of version {news.version} came after {watch.asked} was asked for")
+        self.heard_of(watch)
+        if news.version < self.version and watch.asked <= news.version:
+            return  # on its way while the other watch told more: a whole list too, or it brings back what drains
+        if not news.full and news.version == self.version:
             return  # told before, by the watch at the other address
         self.version, self._whole = news.version, False
+        watch.asked = min(watch.asked, news.version)  # where the numbers began anew, they go on from there
         self._tell(news)
 
     def unreadable(self, watch: Watch, why: str) -> None:
@@ -167,7 +186,11 @@
         if watch is not self._watch or self._stopped:
             return
         self._watch = None
-        if why != "ended":
+        if watch.spoke and self.loop.time() - watch.began >= AGAIN_MOST_S:
+            self._failures = (
+                0  # not for a word alone: one that speaks and ends at once would be dialled without a pause
+            )
+        if why != "ended" and not self._failures:
             self._log.warning("discovery-lost", why=why)
         wait = min(AGAIN_MOST_S, AGAIN_S * 2**self._failures) if self._failures else 0.0
         self._failures = min(self._failures + 1, 8)
--- a/winchdyke/platform/environment.py
+++ b/winchdyke/platform/environment.py
@@ -53,14 +53,14 @@
 
 
 def _object(of: Mapping[str, Any], key: str, where: str) -> dict[str, Any]:
-    value = of.get(key, {})
+    value = {} if of.get(key) is None else of[key]
     if not isinstance(value, dict):
         raise EnvironmentFault(f"{where}: {key!r} is {type(value).__name__}: give an object")
     return value
 
 
 def _number(of: Mapping[str, Any], key: str, usual: float, where: str) -> float:
-    value = of.get(key, usual)
+    value = usual if of.get(key) is None else of[key]
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not value > 0:
         raise EnvironmentFault(f"{where}: {key!r} is {value!r}: give a number above 0")
     return float(value)
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -26,6 +26,10 @@
 
 RESERVE = 24  # descriptors for the standard streams, the loop, the listener and discovery
 CLIENT_PART = 0.7  # of the other descriptors; what is left is for stores
+# What discovery's agent has counts as told from a process's first moment, and it answers at once: nobody is served by a list
+# of an earlier life before that. Where discovery is down it says nothing, and a gateway that waited for it would serve nobody.
+START_S = 1.0
+LATE_MS = 300.0  # after a client's leaving: what is sent on then is counted
 STOP_LOOK_S = 0.02  # between looks at what is still open while stopping
 TELL_S = 10.0  # between lines of the log
 FAULTY_FILE_TRIES, FAULTY_FILE_S = 5, 0.2  # a file that is being replaced is read again
@@ -34,12 +38,13 @@
 class Call(Ticket):
     """A request that was taken, its client, and how its last attempt ended."""
 
-    __slots__ = ("asked", "client", "last", "owner")
+    __slots__ = ("asked", "client", "gone_at", "last", "owner")
 
     def __init__(self, owner: Gateway, client: Client, asked: wire.Asked, end: float) -> None:
         super().__init__(asked.request.id, end)
         self.owner, self.client, self.asked = owner, client, asked
         self.last: Outcome | None = None
+        self.gone_at = float("inf")
 
     def tell(self, action: Told) -> None:
         """What the scheduler, or the engine in its place, says: carried out at once."""
@@ -76,6 +81,8 @@
         self._sock = sockets.listening(told.listen, BACKLOG)
         self.clients = Clients(loop, self.clock, self._sock, wire.Reader(told.settings), self._take, clients)
         self.follower = Follower(loop, told.discovery, known.version, self._heard)
+        self.follower.spoken.add_done_callback(lambda _: self.clients.accept(True))
+        loop.call_later(START_S, self.clients.accept, True)
         self.over = loop.create_future()
         self._leaving: Leaving | None = None
         self._lag, self._worst_lag = loop.time(), 0.0
@@ -128,6 +135,8 @@
 
     def _gone(self, call: Call) -> None:
         self.counts["gone"] += 1
+        self.counts["gone-unsent"] += not call.attempts
+        call.gone_at = self.clock()
         self.engine.gone(call)
 
     def carry_out(self, call: Call, action: Told) -> None:
@@ -147,17 +156,21 @@
             return
 
         def done(attempt: Attempt, told: wire.Told, latency: float) -> None:
+            late = attempt.written_at - call.gone_at
+            self.counts["sent-after-leave"] += late > 0
+            self.counts["sent-late-after-leave"] += late > LATE_MS
             self._ended(call, number, action.node, told, latency, attempt.body)
 
         attempt = Attempt(self.stores, place, call.asked, end, done)
-        call.on_cancel = lambda _: attempt.cancel()
+        call.on_cancel = lambda which: attempt.cancel() if which in (number, -1) else None
+        call.on_call_off = lambda which: attempt.call_off() if which == number else None
         attempt.start()
 
     def _ended(
         self, call: Call, number: int, node: str, told: wire.Told, latency: float, body: bytes
     ) -> None:
         outcome = call.last = told.outcome
-        call.on_cancel = None
+        call.on_cancel = call.on_call_off = None
         self.counts[outcome.name] += 1
         served = outcome is Outcome.SERVED and not call.closed
         self.engine.ended(
@@ -262,9 +275,13 @@
             # been served between here and the end, which nobody tells beforehand.
             self.engine.answer_all("stopping")
         done = self.clients.closing and now >= self._leaving.end
-        if not done or self.clients.busy or self.engine.tickets:
+        done = done and (now >= self._leaving.answer_by or not self.clients.unsettled)
+        # Guards against requests that stand in the queue or in a socket, unread, as the process ends: they were taken, and would
+        # be lost. Looked for in the turn that ends all, so that nothing comes between.
+        if not done or self.engine.tickets or not self.clients.look_last():
             self.loop.call_later(STOP_LOOK_S, self._stop_on)
         elif not self.over.done():
+            self.clients.close()
             self.over.set_result(None)
 
     async def run(self) -> None:
@@ -275,8 +292,6 @@
         await self.over
         self.follower.stop()
         self.stores.close()
-        self.clients.accept(False)
-        self._sock.close()
         self.log.info("stopped", **self.counts)
 
     def _sweep(self) -> None:
--- a/winchdyke/platform/sockets.py
+++ b/winchdyke/platform/sockets.py
@@ -67,6 +67,16 @@
     return False
 
 
+def ended(sock: socket.socket) -> bool:
+    """Whether the other side has ended, with nothing unread before it; nothing is taken."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def connected(sock: socket.socket) -> bool:
     """Whether a dial has come to its end, good or bad."""
     poll = select.poll()
--- a/winchdyke/platform/stores.py
+++ b/winchdyke/platform/stores.py
@@ -35,6 +35,9 @@
 AROUND_MOST = 2 * HEAD_MOST  # bytes of an answer beside its body: what stands ahead of it, head and framing
 ANSWER_PART, HELD_PART = 1 / 64, 1 / 8  # of the memory, for one answer and for all that are being read
 IDLE_PART = 0.5  # of the stores' idle time: a kept connection ends well before the store ends it
+# Guards against an answer that comes twice: the second, some milliseconds late, would be the answer to whatever request goes on
+# the connection next. What comes while it rests ends it. It hurts where one connection would do for requests in a row.
+REST_MS = 50.0
 OWN_FAULTS = (*NO_DESCRIPTORS, errno.EADDRNOTAVAIL)
 
 Place = tuple[str, str]  # a store's id and address: an address can pass to another id
@@ -90,6 +93,7 @@
         "end",
         "ended",
         "place",
+        "written_at",
     )
 
     def __init__(
@@ -109,6 +113,7 @@
         self._received, self._came, self._at = 0, 0.0, 0.0
         self._dialled = self._written = False  # the last byte is with the kernel: from then on it may run
         self._timer: asyncio.TimerHandle | None = None
+        self.written_at = -1e18  # when the last byte was handed over
 
     def start(self) -> None:
         """Take a connection and send."""
@@ -161,6 +166,13 @@
             self.readable()
         self._finish(wire.Told(Outcome.CANCELLED if self._written else Outcome.UNSENT))
 
+    def call_off(self) -> None:
+        """Give up what has not been written whole: it never ran."""
+        if not self._written:
+            if not self.ended:
+                self._stores.counts["called-off"] += 1
+            self._finish(wire.Told(Outcome.UNSENT))
+
     def _payload(self) -> bytes:
         codec, asked = self._link.codec, self.asked  # type: ignore[union-attr]
         headers = wire.onward(asked, self.end - self._stores.clock())
@@ -187,7 +199,7 @@
             self._finish(wire.Told(Outcome.DIAL_FAILED))  # its last byte was never written
             return True
         if sent == len(left):
-            self._written = True
+            self._written, self.written_at = True, self._stores.clock()
             if self._left is not None:
                 self._stores.loop.remove_writer(link.sock.fileno())
             self._left = None
@@ -285,7 +297,7 @@
         if link is not None:
             link.attempt = None
             if answered and self._written and link.codec.reusable:
-                self._stores.keep(link)
+                self._stores.keep(link, self._came)
             else:
                 link.close()
         if told.outcome is Outcome.TIMED_OUT:
@@ -325,17 +337,25 @@
         )
 
     def kept(self, place: Place) -> Link | None:
-        """A kept connection on which nothing has come since."""
-        line = self._by_place.get(place)
-        while line:
-            link = line.pop()
-            del self._idle[link]
-            if self.clock() - link.kept_at < self.idle_ms and sockets.silent(link.sock):
+        """A kept connection that has rested and on which nothing has come since."""
+        now = self.clock()
+        for link in reversed(self._by_place.get(place, ())[:]):
+            if now - link.kept_at < REST_MS:
+                continue
+            if now - link.kept_at < self.idle_ms and sockets.silent(link.sock):
+                self._unkeep(link)
                 self.counts["reused"] += 1
                 return link
             link.close()
         return None
 
+    def _unkeep(self, link: Link) -> None:
+        del self._idle[link]
+        line = self._by_place[link.place]
+        line.remove(link)
+        if not line:
+            del self._by_place[link.place]
+
     def dial(self, place: Place) -> Link:
         """Begin a new connection. OSError where it can't be begun."""
         if len(self.links) >= self.most:
@@ -358,10 +378,10 @@
         self.loop.add_writer(sock.fileno(), link.writable)
         return link
 
-    def keep(self, link: Link) -> None:
-        """Keep a connection whose exchange is over."""
+    def keep(self, link: Link, since: float) -> None:
+        """Keep a connection whose exchange is over; its store counts it as idle since then."""
         link.codec.next_cycle()
-        link.kept_at = self.clock()
+        link.kept_at = since
         self._idle[link] = None
         self._by_place.setdefault(link.place, []).append(link)
 
@@ -371,10 +391,7 @@
             return
         self.links.discard(link)
         if link in self._idle:
-            del self._idle[link]
-            self._by_place[link.place].remove(link)
-        if not self._by_place.get(link.place, True):
-            del self._by_place[link.place]
+            self._unkeep(link)
         self.loop.remove_reader(link.sock.fileno())
         self.loop.remove_writer(link.sock.fileno())
         link.sock.close()
--- a/winchdyke/platform/wire.py
+++ b/winchdyke/platform/wire.py
@@ -15,6 +15,8 @@
 BODY_MOST = 64 * 1024  # the protocol's bound on a body; answers of stores go beyond it at times
 READY, TARGETS = b"/-/ready", b"/api/targets"
 PATH = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]*)?")
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+OBJECT_MOST = 4 * 1024 * 1024  # bytes of one object of a watch, held until it is whole
 TOKEN = re.compile(rb"[\x21-\x7e]{1,128}")
 WHOLE = re.compile(rb"[0-9]{1,9}")
 EXTRAS = re.compile(rb"units=([0-9]{1,9}(?:\.[0-9]{1,6})?),shard=(-1|[0-9]{1,9}),hosts=([0-9]{1,9})")
@@ -209,3 +211,46 @@
     if isinstance(version, bool) or not isinstance(version, int) or not isinstance(rows, list):
         raise ListFault("'version' or 'servers' is missing")
     return Listing(version, info.get("full") is True, tuple(_entry(row) for row in rows))
+
+
+class Objects:
+    """Cuts a watch into its objects, on one line each or indented over several."""
+
+    # Guards against an object that never becomes whole, whatever spoilt it: all that comes behind would be taken for a part of
+    # it. What can't be the beginning of one is told at its first line, and again each time it has doubled; the empty line that
+    # says "nothing new" tells the rest. It hurts where a list is indented with empty lines in it: it is asked for whole.
+    def __init__(self) -> None:
+        self._held, self._seen, self._depth, self._look = bytearray(), 0, 0, 0
+
+    def feed(self, data: bytes | bytearray) -> list[Listing]:
+        """The lists that have become whole. ListFault where something can't be read."""
+        self._held += data
+        found = []
+        while (at := self._held.find(b"\n", self._seen)) >= 0:
+            line, self._seen = bytes(self._held[self._seen : at]), at + 1
+            bare = STRING.sub(b"", line)
+            self._depth += sum(bare.count(c) for c in (b"{", b"[")) - sum(bare.count(c) for c in (b"}", b"]"))
+            if not line.strip():
+                if self._depth:
+                    raise ListFault("an object broke off")
+            elif self._depth <= 0:
+                found.append(listing(bytes(self._held[: self._seen])))
+            elif self._seen >= self._look:
+                self._may_begin(bytes(self._held[: self._seen]))
+                self._look = 2 * self._seen
+            if self._depth <= 0:
+                del self._held[: self._seen]
+                self._seen = self._depth = self._look = 0
+        if len(self._held) > OBJECT_MOST:
+            raise ListFault("an object has no end")
+        return found
+
+    @staticmethod
+    def _may_begin(text: bytes) -> None:
+        try:
+            json.loads(text)
+        except json.JSONDecodeError as error:
+            if error.pos < len(text.decode("utf-8").rstrip()):
+                raise ListFault(f"no JSON: {error}") from error
+        except ValueError as error:
+            raise ListFault(f"no JSON: {error}") from error
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -295,7 +295,10 @@
                 if held and not held.done and not held.out:
                     self.close(held)
             elif isinstance(event, api.ClientGone) and event.request in self.requests:
-                self.finish(self.requests[event.request])
+                held = self.requests[event.request]
+                self.finish(held)
+                if held.out:
+                    self.actions.append(api.CallOff(event.request, len(held.sent) - 1))
         if sweep:
             self.sweep()
         for number in sorted(self.waiting):
@@ -315,6 +318,7 @@
         if news.kind is not api.ListKind.CHANGES:
             for view in self.nodes.values():
                 view.ready, view.gone = False, True
+        stale: list[NodeView] = []  # that have started anew
         for entry in news.nodes:
             view = self.nodes.get(entry.name) or NodeView(entry, self.now)
             self.shards[view.shard].nodes.pop(view.name, None)
@@ -324,6 +328,11 @@
             if entry.started_ms and entry.started_ms > view.born:
                 view.start(entry.started_ms, self.now, self.random.random())
                 view.window = Window(self.now)
+                stale.append(view)
+        # Guards against what was decided before and is written after, from whatever cause: connections that come up late. It
+        # hurts by the time that the dial took: the request is placed anew.
+        for view in [view for view in self.nodes.values() if view.out and (view in stale or not view.ready)]:
+            self.actions += [api.CallOff(*attempt) for attempt in view.out]
         for view in [view for view in self.nodes.values() if view.gone and not view.out]:
             del self.nodes[view.name], self.shards[view.shard].nodes[view.name]
         for shard in self.shards.values():
--- a/winchdyke/settings.py
+++ b/winchdyke/settings.py
@@ -28,15 +28,23 @@
     return table[text]
 
 
+def _told(value: Any) -> Any:
+    """The same without what is null, which is as good as absent."""
+    if isinstance(value, dict):
+        return {key: _told(of) for key, of in value.items() if of is not None}
+    return [_told(of) for of in value] if isinstance(value, list) else value
+
+
 def settings_of(info: dict[str, Any]) -> api.Settings:
-    """The settings; keys that are not known here are passed over."""
+    """The settings; keys that are not known here are passed over, and so is what is null."""
+    info = _told(info)
     domain, rules, allow = info.get("domain", {}), info.get("guarantees", {}), info.get("policy_limits", {})
     goal, writes = info.get("goal", {}), info.get("domain", {}).get("changes_data", [])
     classes = tuple(
         api.RequestClass(
             name=c["name"],
             worth=c["worth"],
-            aim_ms=c["promise_ms"],
+            aim_ms=c.get("promise_ms") or c["deadline_ms"],  # no aim: any time is good
             deadline_ms=c["deadline_ms"],
             late_share=c.get("late_share", 0.0),
             effect=word(EFFECTS, c["effect"]),
@@ -67,7 +75,7 @@
         plans=plans,
         zone=info.get("zone", ""),
         tick_ms=info.get("tick_ms", 1.0),
-        mean_units=domain.get("mean_units", 1.0),
+        mean_units=domain.get("mean_units") or 1.0,
         largest_units=domain.get("units_top", 1.0),
         fair_worth=domain.get("fair_worth", 1.0),
         idle_worth=domain.get("idle_worth", 1.0),
@@ -83,7 +91,7 @@
         second_copies=allow.get("second_copies", False),
         max_retry_after_ms=allow.get("max_retry_after_ms", 0.0) if allow.get("retry_after") else 0.0,
         connect_timeout_ms=allow.get("connect_timeout_ms", 0.0),
-        cold_from=rules.get("cold_from", 1.0),
+        cold_from=rules.get("cold_from") or 1.0,
         warm_after_ms=rules.get("warm_after_ms", 0.0),
         fall_multiple=rules.get("fall_multiple", 0.0),
         fall_window_ms=rules.get("tip_after_ms", 0.0),
