--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -77,6 +77,16 @@
     assert "ISSUE\tgateway/0\tb" in out
 
 
+def test_what_is_called_off_before_it_is_written_is_no_word_of_the_wire():
+    out = reply(
+        "CLOCK\t1\n"
+        + start("gateway/0")
+        + demand("gateway/0", "a")
+        + "FLUSH\nCLOCK\t2\nMEMBERS\tgateway/0\t1\t2\t1\nM\t1\tz\t-\t10.0.0.1:1\tkind\t2\t0\nVANISHED\tgateway/0\ta\nFLUSH\n"
+    )
+    assert "ISSUE\tgateway/0\ta" in out and out.endswith("NEXT\n") and "CallOff" not in out
+
+
 @pytest.mark.parametrize(
     ("line", "says"),
     [
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -32,18 +32,30 @@
         data += more
 
 
-def test_the_next_request_crosses_an_answer_that_says_close_and_the_answer_is_read_whole(tmp_path):
+@pytest.mark.parametrize("unread", [True, False], ids=["before the answer is written", "after it"])
+def test_the_next_request_crosses_an_answer_that_says_close_and_the_answer_is_read_whole(tmp_path, unread):
     """After SIGTERM clients send on every connection that is open: a close with bytes unread is a reset, which may destroy
     the answer on its way."""
 
+    def silent(writer: asyncio.StreamWriter, head: bytes, number: int) -> None:
+        pass
+
     async def play() -> None:
-        async with site(tmp_path) as it:
+        async with site(tmp_path, silent) as it:
             it.gateway.clients.closing = True
             with socket.create_connection(("127.0.0.1", it.port)) as client:
-                client.sendall(it.request())
+                client.sendall(it.request(**{"Req-Deadline-Ms": "5000"}))
+                await until(lambda: bool(it.store.seen))
+                (held,) = it.gateway.clients.by_state[State.OPEN]
+                if unread:
+                    it.gateway.loop.remove_reader(held.sock.fileno())  # the loop has not turned since it came
+                    client.sendall(it.request())
+                    await asyncio.to_thread(select.select, [held.sock], [], [], 5.0)
+                it.store.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood")
                 await until(lambda: it.gateway.counts["SERVED"] == 1)
-                client.sendall(it.request())  # its answer says close, and is not read yet
-                await asyncio.sleep(0.02)
+                if not unread:
+                    client.sendall(it.request())
+                    await asyncio.sleep(0.02)
                 data, good = await asyncio.to_thread(received, client)
             assert good and data.endswith(b"good") and data.count(b"HTTP/1.1 200") == 1
             assert len(it.store.seen) == 1, (
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -210,7 +210,10 @@
                 clients.start(both, wishes)
                 # Until the gateway has what is needed to fill its windows; the rest is in its queues by then.
                 with anyio.fail_after(10):
-                    while sum(seen["what"] == "head" for seen in fleet.record.seen) < 24:
+                    while (
+                        sum(seen["what"] == "head" for seen in fleet.record.seen) < 24
+                        or sum(seen["what"] == "try" for seen in fleet.record.seen) < 200
+                    ):
                         await anyio.sleep(0.02)
                 await anyio.sleep(0.25)
                 tries = sum(seen["what"] == "try" for seen in fleet.record.seen)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -74,12 +74,16 @@
     tickets = {name: engine.take(request(name)) for name in "abc"}
     cancelled = []
     tickets["a"].on_cancel = cancelled.append
+    called_off = []
+    tickets["a"].on_call_off = called_off.append
     script.answers = [
         [
             api.Send("a", "n1", 50.0),
             api.Refuse("b", 250.0),
             api.Fail("c"),
             api.Cancel("a", 0),
+            api.CallOff("a", 0),
+            api.CallOff("nobody", 0),
             api.WatchList(),
             api.Log("two known"),
             api.Cancel("nobody", 0),
@@ -90,7 +94,7 @@
     assert list(tickets["a"].actions) == [api.Send("a", "n1", 50.0)]
     assert list(tickets["b"].actions) == [api.Refuse("b", 250.0)]
     assert list(tickets["c"].actions) == [api.Fail("c")]
-    assert (cancelled, watched) == ([0], [True])
+    assert (cancelled, called_off, watched) == ([0], [0], [True])
     assert set(engine.tickets) == {"a"}
     assert (tickets["a"].attempts_out, tickets["b"].closed, tickets["c"].closed) == (1, True, True)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -628,3 +628,48 @@
     early = make()
     early.ask("a", plan="capped", units=8.0)
     assert not early.sent("a"), "a gateway that has just begun does not know what was spent before it"
+
+
+def called_off(actions: list[api.Action]) -> list[api.CallOff]:
+    return [action for action in actions if isinstance(action, api.CallOff)]
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        node("n0", 0, api.NodeState.DRAINING),
+        node("n0", 0, api.NodeState.GONE),
+        node("n0", 0, started=900.0),
+    ],
+    ids=["it drains", "it has left", "it has started anew"],
+)
+def test_what_is_not_written_yet_is_called_off_where_its_node_is_not_what_it_was(gateway, entry):
+    """ticino-vault, split+mass, seed 607020175703: connections that came up late were written to stores that drained."""
+    gateway.now = 1000.0
+    gateway.ask("r")
+    assert gateway.sent("r")
+    told = gateway.give(api.NodeList(api.ListKind.CHANGES, (entry,)))
+    assert called_off(told) == [api.CallOff("r", 0)]
+    gateway.end("r", Outcome.UNSENT, closed=False)
+    assert "r" in gateway.scheduler.shards[0].queue, "decided anew"
+
+
+def test_a_whole_list_without_a_node_calls_off_what_is_not_written_to_it(gateway):
+    gateway.ask("r")
+    told = gateway.give(api.NodeList(api.ListKind.FULL, (node("n1", 1),)))
+    assert called_off(told) == [api.CallOff("r", 0)]
+
+
+def test_a_client_that_leaves_calls_off_what_is_not_written_and_nothing_where_nothing_is_out(gateway):
+    gateway.ask("r")
+    assert called_off(gateway.give(api.ClientGone("r"))) == [api.CallOff("r", 0)]
+    gateway.end("r", Outcome.UNSENT, closed=True)
+    assert not gateway.scheduler.requests
+    gateway.give(*[request(f"f{n}") for n in range(40)])
+    held = next(name for name in gateway.scheduler.requests if not gateway.sent(name))
+    assert not called_off(gateway.give(api.ClientGone(held)))
+
+
+def test_a_list_that_says_the_same_calls_nothing_off(gateway):
+    gateway.ask("r")
+    assert not called_off(gateway.give(api.NodeList(api.ListKind.CHANGES, (node("n0", 0),))))
