Tests' ports stay bound until they are listened at; one site for all crossings

Need: test_a_discovery_that_speaks_and_ends_at_once failed once with "Address already in use": free_port gave a port back to the system before the gateway listened there, and another test's connection took it.

Change: the port is kept by a socket that is bound and does not listen. The stand-ins' site takes another discovery, and the program is started in one place, where the new tests had written both again.

--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import select
 import signal
 import socket
-import sys
 from dataclasses import replace
 
 import pytest
 from test_platform import TOLD, config
-from test_platform_sockets import answer, discovery, free_port, port_of, site, until
+from test_platform_sockets import answer, discovery, free_port, port_of, site, spawned, until
 
 from winchdyke.platform import environment
 from winchdyke.platform.clients import Clients, State
@@ -217,14 +215,7 @@
             discovery=f"127.0.0.1:{port_of(lists)}",
             settings={**TOLD, "classes": [{**TOLD["classes"][0], "deadline_ms": 300.0}]},
         )
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "winchdyke.platform",
-            env={**os.environ, **variables},
-            stderr=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-        )
+        process = await spawned(variables)
         await until(lambda: bool(watches), 20.0)
         for number in order:
             process.send_signal(number)
--- a/tests/test_crossings_watches.py
+++ b/tests/test_crossings_watches.py
@@ -4,20 +4,15 @@
 
 import asyncio
 import json
-import os
 import time
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from pathlib import Path
+from collections.abc import Callable
 from typing import Any
 
 import pytest
-from test_platform import config
-from test_platform_sockets import Site, Store, answer, discovery, free_port, good, port_of, site, until
+from test_platform_sockets import Site, answer, discovery, port_of, site, until
 
 from winchdyke.platform import discovery as watching
-from winchdyke.platform import environment, service, wire
-from winchdyke.platform.service import Gateway
+from winchdyke.platform import service, wire
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -104,8 +99,8 @@
     async def play() -> None:
         async with site(tmp_path) as it:
             newer, info = list[asyncio.StreamWriter](), json.loads((tmp_path / "config.json").read_text())
-            silent = await discovery_that(newer, lambda writer: None)
-            info["discovery"] = f"127.0.0.1:{port_of(silent)}"
+            other = await silent(newer)
+            info["discovery"] = f"127.0.0.1:{port_of(other)}"
             (tmp_path / "config.json").write_text(json.dumps(info))
             it.gateway.reload()
             await until(lambda: bool(newer))
@@ -114,7 +109,7 @@
             newer[0].write(HEAD + chunk(json.dumps(said(it, 1, full=True)).encode() + b"\n"))
             await until(lambda: it.gateway.follower._old is None)
             assert (await it.ask())[0] == 503 and not it.store.seen and it.gateway.follower.version == 2
-            silent.close()
+            other.close()
 
     asyncio.run(play())
 
@@ -162,11 +157,11 @@
 def test_a_second_move_comes_before_the_first_has_spoken_and_the_watch_that_speaks_is_heard(tmp_path):
     async def play() -> None:
         async with site(tmp_path) as it:
-            silent = list[asyncio.StreamWriter]()
-            places = [await discovery_that(silent, lambda writer: None) for _ in range(2)]
+            mute = list[asyncio.StreamWriter]()
+            places = [await silent(mute) for _ in range(2)]
             for place in places:
                 it.gateway.follower.move(("127.0.0.1", port_of(place)))
-                await until(lambda: bool(silent))
+                await until(lambda: bool(mute))
             it.tell(2, state="terminating")  # on the first of all, which still speaks
             await until(lambda: it.gateway.follower.version == 2)
             assert (await it.ask())[0] == 503
@@ -192,39 +187,9 @@
     asyncio.run(play())
 
 
-@asynccontextmanager
-async def started(path: Path, watches: list[asyncio.StreamWriter]) -> AsyncIterator[Site]:
-    """A gateway whose `known` names a store as in service, with a discovery that says nothing yet."""
-    store, lists = Store(good), await discovery_that(watches, lambda writer: None)
-    await store.start()
-    entry = {
-        "id": "s-1",
-        "addr": store.address,
-        "zone": "a",
-        "cell": 3,
-        "state": "in_service",
-        "started_ms": 0,
-    }
-    port = free_port()
-    variables = config(
-        path / "config.json",
-        listen=f"127.0.0.1:{port}",
-        discovery=f"127.0.0.1:{port_of(lists)}",
-        known={"version": 1, "full": True, "servers": [entry]},
-    )
-    os.environ["NODE_CONFIG"] = variables["NODE_CONFIG"]
-    gateway = Gateway(environment.read(variables), asyncio.get_running_loop())
-    serving = asyncio.ensure_future(gateway.run())
-    made = Site(gateway, store, watches, port)
-    made.entry = entry
-    try:
-        await until(lambda: bool(watches))
-        yield made
-    finally:
-        gateway.stop()
-        await asyncio.wait_for(serving, 10)
-        store.server.close()
-        lists.close()
+async def silent(watches: list[asyncio.StreamWriter]) -> asyncio.Server:
+    """A discovery that says nothing yet; `known` names the store as in service."""
+    return await discovery_that(watches, lambda writer: None)
 
 
 @pytest.mark.parametrize("drains", [True, False])
@@ -233,7 +198,7 @@
     monkeypatch.setattr(service, "START_S", 30.0)
 
     async def play() -> None:
-        async with started(tmp_path, []) as it:
+        async with site(tmp_path, lists_of=silent) as it:
             reader, writer = await it.open()
             writer.write(it.request())
             await writer.drain()
@@ -255,7 +220,7 @@
     monkeypatch.setattr(service, "START_S", 0.1)
 
     async def play() -> None:
-        async with started(tmp_path, []) as it:
+        async with site(tmp_path, lists_of=silent) as it:
             assert (await it.ask())[0] == 200
 
     asyncio.run(play())
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -111,10 +111,16 @@
     return int(server.sockets[0].getsockname()[1])
 
 
+HELD: list[socket.socket] = []
+
+
 def free_port() -> int:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return int(free.getsockname()[1])
+    """A port for a listener, kept by a socket that does not listen: the system gives it to nobody else meanwhile."""
+    kept = socket.socket()
+    kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    kept.bind(("127.0.0.1", 0))
+    HELD.append(kept)
+    return int(kept.getsockname()[1])
 
 
 async def discovery(watches: list[asyncio.StreamWriter]) -> asyncio.Server:
@@ -128,11 +134,15 @@
 
 @asynccontextmanager
 async def site(
-    path: Path, say: Say = good, listed: bool = True, sockets_most: int = 256
+    path: Path,
+    say: Say = good,
+    listed: bool = True,
+    sockets_most: int = 256,
+    lists_of: Callable[[list[asyncio.StreamWriter]], Awaitable[asyncio.Server]] | None = None,
 ) -> AsyncIterator[Site]:
     store, watches = Store(say), list[asyncio.StreamWriter]()
     await store.start()
-    lists = await discovery(watches)
+    lists = await (lists_of or discovery)(watches)
     entry = {
         "id": "s-1",
         "addr": store.address,
@@ -164,6 +174,18 @@
         lists.close()
 
 
+async def spawned(variables: dict[str, str]) -> asyncio.subprocess.Process:
+    """The program itself; what it says is kept."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "winchdyke.platform",
+        env={**os.environ, **variables},
+        stderr=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+
+
 def test_a_request_is_served_with_what_the_store_made_and_passes_on_as_it_was(tmp_path):
     async def play() -> None:
         async with site(tmp_path) as it:
@@ -516,13 +538,7 @@
             discovery=f"127.0.0.1:{port_of(lists)}",
             settings=TOLD,
         )
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "winchdyke.platform",
-            env={**os.environ, **variables},
-            stderr=asyncio.subprocess.PIPE,
-        )
+        process = await spawned(variables)
         if early:
             await asyncio.sleep(0.15)
         else:
@@ -538,13 +554,7 @@
 
 def test_an_environment_that_cannot_be_used_ends_the_program_with_one_line(tmp_path):
     async def play() -> None:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "winchdyke.platform",
-            env={**os.environ, "NODE_CONFIG": str(tmp_path / "none")},
-            stderr=asyncio.subprocess.PIPE,
-        )
+        process = await spawned({"NODE_CONFIG": str(tmp_path / "none")})
         _, said = await process.communicate()
         assert process.returncode == 2 and said.startswith(b"winchdyke: ") and said.count(b"\n") == 1
 
