--- a/tests/test_crossings_watches.py
+++ b/tests/test_crossings_watches.py
@@ -171,9 +171,12 @@
     asyncio.run(play())
 
 
-def test_a_discovery_that_speaks_and_ends_at_once_is_not_dialled_without_a_pause(tmp_path):
+@pytest.mark.parametrize(
+    "last", [b"{no\n", b'{"version": 1, "full": false, "servers": []}\n'], ids=["spoilt", "a list"]
+)
+def test_a_discovery_that_speaks_and_ends_at_once_is_not_dialled_without_a_pause(tmp_path, last):
     def say(writer: asyncio.StreamWriter) -> None:
-        writer.write(HEAD + chunk(b"\n") + chunk(b"{no\n"))
+        writer.write(HEAD + chunk(b"\n") + chunk(last) + b"0\r\n\r\n")
 
     async def play() -> None:
         async with site(tmp_path) as it:
