Bytes behind a gap are never read as a request; one way to look at a client

Need: read once more, what a client sent after bytes of its own had been thrown away could be fed to the parser where its connection was looked at before the 413 was said: clients.py, readable() went by the state alone.

Change: behind a gap all is thrown away, whatever the state. Client.look takes the place of the same look in _unless_heard and look_last, with `unread` and `advance`, which only they used.

--- a/tests/test_crossings_sends.py
+++ b/tests/test_crossings_sends.py
@@ -13,6 +13,7 @@
 from test_platform_sockets import GOOD, Site, answer, good, site, until
 
 from winchdyke.platform import stores
+from winchdyke.platform.clients import State
 from winchdyke.platform.stores import Link, Stores
 
 LONG = {"Req-Deadline-Ms": "5000"}
@@ -145,6 +146,23 @@
     asyncio.run(play())
 
 
+def test_bytes_come_behind_a_gap_before_it_was_told_and_are_no_request(tmp_path):
+    async def play() -> None:
+        async with site(tmp_path) as it:
+            reader, writer = await it.open()
+            writer.write(it.request())
+            assert (await answer(reader))[0] == 200
+            (client,) = it.gateway.clients.by_state[State.IDLE]
+            client._over = True  # bytes were thrown away, and the turn that tells so has not come
+            writer.write(it.request())
+            await until(lambda: client._thrown > 0)
+            client.look()
+            assert (await answer(reader))[0] == 413 and len(it.store.seen) == 1
+            writer.close()
+
+    asyncio.run(play())
+
+
 def test_a_drain_is_told_then_the_dial_comes_up_nothing_is_sent(tmp_path, dials):
     """ticino-vault, split+mass, seed 607020175703: 29 requests went to stores up to a dial's time after their drain was told."""
 
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -106,7 +106,10 @@
         if not data:
             self.close()
             return
-        if self.state in (State.OPEN, State.WRITING):
+        if self._over or self.state in (
+            State.OPEN,
+            State.WRITING,
+        ):  # behind a gap nothing is a request any more
             self._ahead += len(data)
             if self._ahead <= AHEAD_MOST and not self._over:
                 self._codec.feed(data)
@@ -138,14 +141,12 @@
             self.close()
         return self.state is State.CLOSED
 
-    @property
-    def unread(self) -> bool:
-        """Whether a next request's bytes were taken in and not looked at."""
-        return self.state is State.IDLE and self._codec.more
-
-    def advance(self) -> None:
-        """Go on with what was taken in."""
-        self._advance()
+    def look(self) -> None:
+        """Go on with what was taken in and not looked at, or with what has come."""
+        if self.state is State.IDLE and (self._codec.more or self._over):
+            self._advance()
+        elif not sockets.silent(self.sock):
+            self.readable()
 
     def _advance(self) -> None:
         if self.state not in (State.FRESH, State.IDLE, State.READING):
@@ -437,10 +438,8 @@
     def _unless_heard(client: Client, end: Callable[[Client], None]) -> bool:
         """End a connection unless what has come on it, which is read first, takes it on; whether it was ended."""
         state = client.state
-        if client.unread:
-            client.advance()
-        elif state not in (State.LINGER, State.ENDING, State.WRITING) and not sockets.silent(client.sock):
-            client.readable()
+        if state not in (State.LINGER, State.ENDING, State.WRITING):
+            client.look()
         if client.state is not state:
             return False
         end(client)
@@ -467,10 +466,7 @@
             pass
         for state in (State.FRESH, State.READING, State.IDLE):
             for client in list(self.by_state[state]):
-                if client.unread:
-                    client.advance()
-                elif not sockets.silent(client.sock):
-                    client.readable()
+                client.look()
         return not self.busy
 
     def close(self) -> None:
