What a send, answer or leave was taken for must hold when it happens: nine faults

Send.write_ms bounds it, the module says it, the platform and the object API carry it out. - units of a limit taken at a first send whose dial failed came later, on top of what had filled: Scheduler.eligible and send asked for them once. They are taken again now. - request and leave found together (a full gateway, one off its core): _advance (clients.py) handed it on, and the engine's turn comes before the leave is read.

--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -186,6 +186,12 @@
     )
 
 
+def catches(pid: int, number: int) -> bool:
+    """Whether a process has a handler for a signal."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return bool(int(status.split("SigCgt:")[1].split()[0], 16) >> (number - 1) & 1)
+
+
 def test_a_request_is_served_with_what_the_store_made_and_passes_on_as_it_was(tmp_path):
     async def play() -> None:
         async with site(tmp_path) as it:
@@ -539,8 +545,8 @@
             settings=TOLD,
         )
         process = await spawned(variables)
-        if early:
-            await asyncio.sleep(0.15)
+        if early:  # as soon as it is heard at all: before that the system ends any program by it
+            await until(lambda: catches(process.pid, signal.SIGHUP), 20.0)
         else:
             await until(lambda: bool(watches), 20.0)
         process.send_signal(signal.SIGHUP)
--- a/winchdyke/gateway/attempts.py
+++ b/winchdyke/gateway/attempts.py
@@ -90,7 +90,12 @@
         self._cancelled = True
         self._scope.cancel()
 
-    async def run(self, node: str, out: Outgoing, timeout_ms: float) -> Ended:
+    def call_off(self) -> None:
+        """Give it up where nothing of it has been handed to the socket."""
+        if not self._sent:
+            self._scope.cancel()
+
+    async def run(self, node: str, out: Outgoing, timeout_ms: float, write_ms: float = 0.0) -> Ended:
         """Carry it out; never raises but when the task itself is cancelled."""
         began = self._clock()
         connection: Connection | None = None
@@ -100,7 +105,10 @@
         try:
             with self._scope:
                 connection = await self._pool.get(node)
-                ended = await self._exchange(connection, out)
+                if not write_ms or self._clock() < began + write_ms:
+                    ended = await self._exchange(connection, out)
+                else:
+                    ended = Ended(Outcome.UNSENT)  # what it was decided on holds no longer
         except DialError as error:
             ended = Ended(Outcome.UNSENT if error.own else Outcome.DIAL_FAILED)
         except LOST:
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -666,14 +666,15 @@
                 self._weigh(ticket, record)
             running[:] = [attempt]
             ticket.on_cancel = lambda which: attempt.cancel() if which in (number, -1) else None
+            ticket.on_call_off = lambda which: attempt.call_off() if which == number else None
             try:
-                ended = await attempt.run(send.node, outgoing(send.node, number), timeout)
+                ended = await attempt.run(send.node, outgoing(send.node, number), timeout, send.write_ms)
             except BaseException as error:  # whatever it was: the scheduler hears of the end of what it sent
                 fault = error if isinstance(error, Exception) else None
                 self._tell(ticket, number, send.node, Ended(api.Outcome.CANCELLED, fault=fault))
                 raise
             finally:
-                ticket.on_cancel = None
+                ticket.on_cancel = ticket.on_call_off = None
         if operation.name == "get" and not record.excess and ended.moved > record.unit_bytes:
             assert record.ask is not None
             record.excess = max(0.0, units_of(ended.moved, record.unit_bytes) - record.ask.units)
--- a/winchdyke/interface.py
+++ b/winchdyke/interface.py
@@ -228,11 +228,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt of a request at a node; a time-out of 0 is the client's own."""
+    """Start an attempt of a request at a node; a time-out of 0 is the client's own.
+
+    ``write_ms``: an attempt whose last byte has not been handed over after this time is given up, unsent; 0: no such bound.
+    """
 
     request: str
     node: str
     timeout_ms: float = 0.0
+    write_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from collections import Counter
@@ -61,6 +62,7 @@
         "_thrown",
         "came",
         "closing",
+        "long",
         "on_gone",
         "since",
         "sock",
@@ -75,7 +77,7 @@
         self._asked: wire.Asked | None = None
         self._body = bytearray()
         self._left: memoryview | None = None
-        self._ahead = self._thrown = 0
+        self._ahead = self._thrown = self.long = 0
         self._paused = self._over = self.closing = False
         self.on_gone: Callable[[], None] | None = None
 
@@ -167,6 +169,7 @@
                     return
                 self._asked = self._ports.reader.asked(head)
                 self._head = head
+                self._hold(head.length or 0)
                 if head.length != 0 and self._codec.waiting_for_continue:
                     self.sock.send(self._codec.go_on())
             assert self._asked is not None
@@ -178,14 +181,22 @@
                 if isinstance(piece, End):
                     break
                 self._body += piece
-                if len(self._body) > wire.BODY_MOST:
-                    raise ProtocolError(413, "too-large", f"a body may hold {wire.BODY_MOST} bytes")
+                if len(self._body) > max(wire.BODY_MOST, self.long):
+                    raise ProtocolError(
+                        413, "too-large", f"a body of no stated length may hold {wire.BODY_MOST} bytes"
+                    )
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
             return
         except OSError:
             self.close()
             return
+        if sockets.ended(self.sock):
+            # Guards against sending on for a client whose leaving lies behind its request: where this gateway was off its core,
+            # or took no connection for a while, both are found together, and the request would go before the leave is read.
+            self._ports.counts["gone-before-look"] += 1
+            self.close()
+            return
         asked, self._asked, asked.body = self._asked, None, bytes(self._body)
         self._body.clear()
         self.turn(State.OPEN)
@@ -194,6 +205,15 @@
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
 
+    def _hold(self, length: int) -> None:
+        """Keep room for a body that is longer than the protocol's bound."""
+        # Guards against long bodies that together take this machine's memory. It hurts the one that comes when all room is held.
+        if length > wire.BODY_MOST:
+            if self._ports.long + length > self._ports.long_most:
+                raise ProtocolError(503, "too-large", "all room for long bodies is held; try again")
+            self.long = length
+            self._ports.long += length
+
     def _wait_for_more(self) -> None:
         if self._over:
             raise ProtocolError(
@@ -282,11 +302,24 @@
 
     def overdue(self) -> None:
         """Its time is up: who has sent a part of a request is told so."""
-        if self.state is State.READING:
+        if self._begun:
             self.reject(408, "head-slow", "the request did not arrive in time")
         else:
             self.close()
 
+    def give_place(self) -> None:
+        """Close for another's sake: who has sent a part of a request is told so."""
+        if self._begun:
+            with contextlib.suppress(OSError):
+                said = _error(503, "too-many-connections", "this gateway holds as many connections as it may")
+                self.sock.send(ServerSide(1024).unasked(*said))
+        self.close()
+
+    @property
+    def _begun(self) -> bool:
+        """Whether a part of a request has come: a connection that is closed on it with no answer is a request lost."""
+        return self.state is State.READING or (self.state is State.FRESH and self.came > 0)
+
     def close(self) -> None:
         """Close; whoever waits for the answer is told that its client has gone."""
         if self.state is State.CLOSED:
@@ -315,8 +348,13 @@
         reader: wire.Reader,
         take: Callable[[Client, wire.Asked, float], None],
         most: int,
+        long_most: float = 0.0,
     ) -> None:
         self.loop, self.clock, self.reader, self.take, self.most = loop, clock, reader, take, most
+        self.long, self.long_most = (
+            0,
+            long_most,
+        )  # bytes of bodies beyond the protocol's bound: held, and at most
         self._sock, self._accepting, self._waiting = sock, False, False
         self.closing = False  # every answer says that its connection ends
         self.keep_idle = False  # no new ones will come in the place of what is ended
@@ -339,6 +377,8 @@
     def moved(self, client: Client, state: State) -> None:
         """A connection goes to another state."""
         self.by_state[client.state].pop(client, None)
+        if client.long and state not in (State.OPEN, State.READING):
+            self.long, client.long = self.long - client.long, 0
         client.state, client.since = state, self.clock()
         if state is State.CLOSED:
             self.count -= 1
@@ -406,7 +446,7 @@
             for client in list(self.by_state[state]):
                 if state is State.FRESH and client.since > young:
                     break
-                self._unless_heard(client, Client.close)
+                self._unless_heard(client, Client.give_place)
                 if client.state is State.CLOSED:
                     self.counts["made-room"] += 1
                     return True
--- a/winchdyke/platform/discovery.py
+++ b/winchdyke/platform/discovery.py
@@ -25,7 +25,7 @@
     def __init__(self, follower: Follower, target: bytes, whole: bool, asked: int) -> None:
         self._follower, self._target, self._whole, self.asked = follower, target, whole, asked
         self._codec, self._head, self._list = ClientSide(HEAD_MOST), False, bytearray()
-        self._objects, self.spoke = wire.Objects(), False
+        self._objects, self.spoke, self._open_ended = wire.Objects(), False, False
         self.transport: asyncio.Transport | None = None
         self.began = self.heard = follower.loop.time()
         self.over = False
@@ -57,7 +57,7 @@
                 return
             if head.status != 200:
                 raise wire.ListFault(f"discovery answered {head.status}")
-            self._head = True
+            self._head, self._open_ended = True, not wire.framed(head)
         while not self.over and not isinstance(piece := self._codec.body(), Need):
             self.spoke = True
             if isinstance(piece, End):
@@ -75,6 +75,11 @@
                     self._follower.heard(self, news)
             self._follower.heard_of(self)
 
+    def eof_received(self) -> None:
+        """The end, in good order: where a whole list told no length, its own. A reset is none."""
+        if self._whole and self._open_ended and not self.over:
+            self.data_received(b"")
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The watch is over."""
         if not self.over:
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -25,6 +25,8 @@
 from winchdyke.platform.stores import Attempt, Place, Stores
 
 RESERVE = 24  # descriptors for the standard streams, the loop, the listener and discovery
+# Clients that may, by the protocol, send 64 KiB have sent up to 108 KB (zone+brink, seed 31): this machine's memory bounds them.
+BODY_PART, LONG_PART = 1 / 256, 1 / 16  # of it, for one such body and for all
 CLIENT_PART = 0.7  # of the other descriptors; what is left is for stores
 # What discovery's agent has counts as told from a process's first moment, and it answers at once: nobody is served by a list
 # of an earlier life before that. Where discovery is down it says nothing, and a gateway that waited for it would serve nobody.
@@ -79,7 +81,9 @@
         self._listed(known, ListKind.CACHED)
         self.engine.turn()
         self._sock = sockets.listening(told.listen, BACKLOG)
-        self.clients = Clients(loop, self.clock, self._sock, wire.Reader(told.settings), self._take, clients)
+        memory = told.limits.memory_mb * 2**20
+        reader = wire.Reader(told.settings, max(wire.BODY_MOST, int(memory * BODY_PART)))
+        self.clients = Clients(loop, self.clock, self._sock, reader, self._take, clients, memory * LONG_PART)
         self.follower = Follower(loop, told.discovery, known.version, self._heard)
         self.follower.spoken.add_done_callback(lambda _: self.clients.accept(True))
         loop.call_later(START_S, self.clients.accept, True)
@@ -161,7 +165,8 @@
             self.counts["sent-late-after-leave"] += late > LATE_MS
             self._ended(call, number, action.node, told, latency, attempt.body)
 
-        attempt = Attempt(self.stores, place, call.asked, end, done)
+        write_by = now + action.write_ms if action.write_ms else float("inf")
+        attempt = Attempt(self.stores, place, call.asked, end, done, write_by)
         call.on_cancel = lambda which: attempt.cancel() if which in (number, -1) else None
         call.on_call_off = lambda which: attempt.call_off() if which == number else None
         attempt.start()
--- a/winchdyke/platform/stores.py
+++ b/winchdyke/platform/stores.py
@@ -7,9 +7,11 @@
 outcome            what happened                                                                 never ran
 =================  ============================================================================  =========
 ``DIAL_FAILED``    no connection came up, or it broke before the request's last byte was written  yes
-``UNSENT``         time was up, or no descriptor was left, before the last byte was written      yes
+``UNSENT``         time was up, no descriptor was left, or it was called off, before the last     yes
+                   byte was written
 ``SHED``           the store turned it away                                                      yes
-``RESET``          the connection broke or ended after that, or the answer was spoilt             no
+``RESET``          the connection broke after that, or ended where no answer may end, or the      no
+                   answer was spoilt
 ``ERROR``          any other answer than 200                                                     no
 ``TIMED_OUT``      no whole answer when its time was up                                           no
 ``CANCELLED``      the scheduler called it off                                                    no
@@ -38,6 +40,9 @@
 # Guards against an answer that comes twice: the second, some milliseconds late, would be the answer to whatever request goes on
 # the connection next. What comes while it rests ends it. It hurts where one connection would do for requests in a row.
 REST_MS = 50.0
+# An answer that tells no length is whole at the end of its connection, which follows its last byte. Guards against one that never
+# ends, for whatever cause. It hurts a store that pauses in the middle of such an answer.
+OPEN_MS = 100.0
 OWN_FAULTS = (*NO_DESCRIPTORS, errno.EADDRNOTAVAIL)
 
 Place = tuple[str, str]  # a store's id and address: an address can pass to another id
@@ -82,6 +87,7 @@
         "_head",
         "_left",
         "_link",
+        "_open_ended",
         "_received",
         "_stores",
         "_timer",
@@ -93,6 +99,7 @@
         "end",
         "ended",
         "place",
+        "write_by",
         "written_at",
     )
 
@@ -103,14 +110,17 @@
         asked: wire.Asked,
         end: float,
         done: Callable[[Attempt, wire.Told, float], None],
+        write_by: float = float("inf"),
     ) -> None:
         self._stores, self.place, self.asked, self.end, self.done = stores, place, asked, end, done
+        self.write_by = write_by  # until when its last byte may be handed over
         self.began, self.ended, self.body = stores.clock(), False, b""
         self._link: Link | None = None
         self._head: AnswerHead | None = None
         self._body = bytearray()
         self._left: memoryview | None = None
         self._received, self._came, self._at = 0, 0.0, 0.0
+        self._open_ended = False  # the answer told no length: it ends with its connection, in good order
         self._dialled = self._written = False  # the last byte is with the kernel: from then on it may run
         self._timer: asyncio.TimerHandle | None = None
         self.written_at = -1e18  # when the last byte was handed over
@@ -154,7 +164,9 @@
             self.readable()
         if self.ended or self._at != at:  # it has come up just now: it has its whole time
             return
-        if self._written:
+        if self._open_ended and at < self.end:
+            self._spoilt("length")
+        elif self._written:
             self._finish(wire.Told(Outcome.TIMED_OUT))
         else:
             late = not link.up and at < self.end
@@ -223,7 +235,10 @@
             self._stores.loop.remove_writer(link.sock.fileno())
             self._stores.loop.add_reader(link.sock.fileno(), link.readable)
             self._arm(self.end)
-        self._write()
+        if self._stores.clock() > self.write_by:
+            self.call_off()  # what it was decided on holds no longer
+        else:
+            self._write()
 
     def readable(self) -> None:
         """Take in what has come of the answer."""
@@ -238,8 +253,8 @@
                 self._broken(os.strerror(error.errno or 0))
                 return
             self._received += len(data)
-            if not data:
-                self._broken("ended")  # where an answer ends is told by its head alone
+            if not data and not self._open_ended:
+                self._broken("ended")  # its head told where it ends, and that was not here
                 return
             try:
                 link.codec.feed(data)
@@ -249,6 +264,8 @@
                 return
             if whole or self.ended:
                 return
+            if self._open_ended:
+                self._arm(min(self.end, self._stores.clock() + OPEN_MS))
             if self._received > 2 * self._stores.answer_most + AROUND_MOST:
                 self._spoilt("too-large")
                 return
@@ -269,14 +286,21 @@
             head = codec.head()
             if isinstance(head, Need):
                 return False
-            if not wire.fits(head, self._stores.answer_most):
+            self._open_ended = not wire.framed(head)
+            if not self._open_ended and not wire.fits(head, self._stores.answer_most):
                 self._spoilt("length")
                 return False
             self._head = head
         while not isinstance(piece := codec.body(), Need):
             if isinstance(piece, End):
                 self.body = bytes(self._body)
-                self._finish(wire.told(self._head, self._stores.load_fields))
+                told = wire.told(self._head, self._stores.load_fields)
+                if not self._written and told.outcome is not Outcome.SHED:
+                    # Guards against an answer that was made for another request, whatever sent it late: a store begins a request
+                    # when its last byte has come, which has not left here. It hurts by a request that is sent anew.
+                    self._stores.counts["early"] += 1
+                    told = wire.Told(Outcome.UNSENT)
+                self._finish(told)
                 return True
             self._body += piece
             self._stores.held += len(piece)
--- a/winchdyke/platform/wire.py
+++ b/winchdyke/platform/wire.py
@@ -12,9 +12,15 @@
 from winchdyke.http1 import AnswerHead, Headers, ProtocolError, RequestHead
 from winchdyke.interface import NodeState, Outcome
 
-BODY_MOST = 64 * 1024  # the protocol's bound on a body; answers of stores go beyond it at times
+BODY_MOST = (
+    64 * 1024
+)  # the protocol's bound on a body; answers of stores, and requests, go beyond it at times
 READY, TARGETS = b"/-/ready", b"/api/targets"
 PATH = re.compile(rb"/api/([0-9a-f]{16})/([0-9a-f]{16})(?:\?[\x21-\x7e]*)?")
+PLACE = re.compile(
+    r"(?:(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])\.){3}(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9]):[0-9]{1,5}"
+)
+TIME_MOST = 1e15  # ms of Unix time: some 30,000 years
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 OBJECT_MOST = 4 * 1024 * 1024  # bytes of one object of a watch, held until it is whole
 TOKEN = re.compile(rb"[\x21-\x7e]{1,128}")
@@ -78,7 +84,8 @@
 class Reader:
     """Reads the heads of clients' requests by the settings."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, body_most: int = BODY_MOST) -> None:
+        self._body_most = body_most
         self._kinds = {kind.name.encode(): kind for kind in settings.classes}
         self._plans = {plan.name.encode(): plan.name for plan in settings.plans}
         self._most, self._gateways = settings.largest_units, settings.gateways
@@ -90,8 +97,8 @@
             if name in found and name in OWN:
                 raise _bad("bad-header", f"more than one {name.decode()}")
             found[name] = value
-        if head.length is not None and head.length > BODY_MOST:
-            raise ProtocolError(413, "too-large", f"a body may hold {BODY_MOST} bytes")
+        if head.length is not None and head.length > self._body_most:
+            raise ProtocolError(413, "too-large", f"a body may hold {self._body_most} bytes")
         path = PATH.fullmatch(head.target)
         if path is None:
             raise ProtocolError(404, "bad-path", "the path is not /api/VOLUME/DATA, 16 hex digits each")
@@ -161,11 +168,15 @@
     return tuple(value for value in values if value is not None) if None not in values else ()
 
 
+def framed(head: AnswerHead) -> int:
+    """In how many ways an answer's head tells where its body ends."""
+    names = [name for name, _ in head.headers]
+    return (b"content-length" in names) + (b"transfer-encoding" in names)
+
+
 def fits(head: AnswerHead, most: int = BODY_MOST) -> bool:
     """Whether an answer's head tells where its body ends, in one way, and within the bound."""
-    names = [name for name, _ in head.headers]
-    framed = (b"content-length" in names) + (b"transfer-encoding" in names)
-    return framed == 1 and (head.length is None or head.length <= most)
+    return framed(head) == 1 and (head.length is None or head.length <= most)
 
 
 def told(head: AnswerHead, fields: tuple[str, ...]) -> Told:
@@ -189,13 +200,13 @@
     started, zone = row.get("started_ms", 0), row.get("zone", "")
     if not isinstance(name, str) or not name or not isinstance(place, str) or state not in STATES:
         raise ListFault(f"an entry can't be used: id {name!r}, addr {place!r}, state {state!r}")
-    host, _, port = place.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
-        raise ListFault(f"{name}: addr is {place!r}, which is not HOST:PORT")
+    # Guards against what can't be dialled at all: a name would be looked up while all else waits, and some raise no OSError.
+    if not PLACE.fullmatch(place) or not 0 < int(place.rpartition(":")[2]) < 65536:
+        raise ListFault(f"{name}: addr is {place!r}, which is not an IPv4 address and a port")
     if isinstance(shard, bool) or not isinstance(shard, int):
         raise ListFault(f"{name}: cell is {shard!r}, which is no whole number")
-    if isinstance(started, bool) or not isinstance(started, (int, float)) or not math.isfinite(started):
-        raise ListFault(f"{name}: started_ms is {started!r}, which is no time")
+    if isinstance(started, bool) or not isinstance(started, (int, float)) or not abs(started) < TIME_MOST:
+        raise ListFault(f"{name}: started_ms is no time")
     return Entry(name, place, STATES[state], shard, str(zone), max(0.0, float(started)))
 
 
@@ -203,7 +214,7 @@
     """A list of discovery's, or a line of its watch. ListFault where it can't be read."""
     try:
         info = json.loads(data) if isinstance(data, bytes) else data
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ListFault(f"no JSON: {error}") from error
     if not isinstance(info, dict):
         raise ListFault("no object")
@@ -252,5 +263,5 @@
         except json.JSONDecodeError as error:
             if error.pos < len(text.decode("utf-8").rstrip()):
                 raise ListFault(f"no JSON: {error}") from error
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise ListFault(f"no JSON: {error}") from error
--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -143,6 +143,7 @@
         self.shard, self.first, self.aim, self.end = request.shard, now, now, now
         self.sent: list[tuple[NodeView, float]] = []
         self.out = self.off = 0  # attempts out; how many there had been when the last was called off
+        self.paid = False  # whether its limit's units are taken by an attempt that may have come to its node
         self.maybe: tuple[NodeView, float] | None = None  # the first attempt that may have run
         self.done = False
 
@@ -402,6 +403,8 @@
         self.learn(node, held, event)
         if not outcome.never_ran and held.maybe is None:
             held.maybe = held.sent[event.attempt]
+        # Guards against units that come long after they were taken, on top of what has filled since. It hurts by those.
+        held.paid = held.maybe is not None or outcome not in (Outcome.DIAL_FAILED, Outcome.UNSENT)
         if held.kind.in_order and outcome in (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED):
             self.rest[held.request.key] = self.now + self.cfg.settle_ms
         if held.done or event.closed:
@@ -494,7 +497,7 @@
             for held in [h for h in shard.queue.values() if self.hopeless(h, shard)]:
                 self.close(held)
             if (ready := shard.node()) is not None:
-                for held in [h for h in shard.queue.values() if h.volume.plan.limit and not h.sent]:
+                for held in [h for h in shard.queue.values() if h.volume.plan.limit and not h.paid]:
                     rank = (-self.value(held, ready), held.aim, held.request.id)  # as they would be sent
                     lines[id(held.volume)].append((*rank, held))
             for name, head in {held.kind.name: held for held in reversed(shard.queue.values())}.items():
@@ -535,16 +538,15 @@
             waits = first is not held or now < self.rest.get(key, now)
         if waits or not held.may_go_to(node, now):
             return False
-        if held.sent:
-            return self.budget.allows(now)
-        return not held.volume.plan.limit or held.volume.limit >= held.request.units
+        funded = held.paid or not held.volume.plan.limit or held.volume.limit >= held.request.units
+        return funded and (not held.sent or self.budget.allows(now))
 
     def hopeless(self, held: Held, shard: Shard) -> bool:
         """Whether waiting can earn no more. What is given up on is answered at once."""
         now, volume, units = self.now, held.volume, held.request.units
         # Guards against clients in a hurry: what cannot be done in its time left only takes others' time.
         spent = len(held.sent) >= self.cfg.max_attempts or now + self.cost[held.kind.name] * units >= held.end
-        if volume.plan.limit and not held.sent:
+        if volume.plan.limit and not held.paid:
             fills = (units - volume.limit) * volume.gateways / volume.plan.limit * 1000
             spent = spent or volume.at + fills >= held.end
         if held.request.shard < 0 and held.maybe is None:
@@ -588,19 +590,21 @@
                 self.send(held, node)
 
     def send(self, held: Held, node: NodeView) -> None:
-        now, request, volume = self.now, held.request, held.volume
+        now, request, volume, kind = self.now, held.request, held.volume, held.kind
         del self.shards[held.shard].queue[request.id]
         if held.sent:
             self.budget.extra.append(now)
         else:
             volume.reserve = max(volume.reserve - request.units, -request.units)
-            volume.limit -= request.units
             volume.own += request.units * 0.693 * 1000 / RATE_MS
+        volume.limit, held.paid = volume.limit - request.units * (not held.paid), True
         node.credit, node.phase = node.credit - request.units, self.random.random()
-        node.out[(request.id, len(held.sent))] = (now, held.kind.name)
+        node.out[(request.id, len(held.sent))] = (now, kind.name)
         node.window.peak = max(node.window.peak, len(node.out))
         held.sent.append((node, now))
         held.out += 1
         if node.lost is not None:
             self.suspect(node)
-        self.actions.append(api.Send(request.id, node.name))
+        # Guards against a repeat that comes when the first is forgotten, whatever its way takes. It hurts by that attempt.
+        by = held.maybe[1] + kind.memory_ms - now if held.maybe and kind.effect is Effect.KEYED else 0.0
+        self.actions.append(api.Send(request.id, node.name, write_ms=by))
