The object API's calling off and its bound on writing have a test

Change: a store's connection is held until the send has been called off, or its time to be written is over; one request is written.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -11,6 +12,7 @@
 
 from winchdyke import interface as api
 from winchdyke.gateway.pool import DialError, Pool
+from winchdyke.policy import Scheduler
 from winchdyke.standins.wire import LOST
 
 READ = "/school-1/object"
@@ -294,3 +296,47 @@
             assert (reply.status, reply.reason) == (502, "cancelled")
 
     run()
+
+
+@pytest.mark.parametrize("order", ["it is called off", "its time to be written ends"])
+def test_a_connection_comes_up_after_what_a_send_was_decided_on_and_nothing_is_written(monkeypatch, order):
+    """As on the platform: a store that had been told to drain got what a late connection brought."""
+    get, handle = Pool.get, Scheduler.handle
+
+    @played
+    async def run():
+        async with rig() as it:
+            begun, up = anyio.Event(), anyio.Event()
+
+            async def late(pool, node):
+                connection = await get(pool, node)
+                begun.set()
+                await up.wait()
+                return connection
+
+            def bounded(scheduler, now, events):
+                return [
+                    replace(action, write_ms=1.0) if isinstance(action, api.Send) else action
+                    for action in handle(scheduler, now, events)
+                ]
+
+            async def later():
+                await begun.wait()
+                if order == "it is called off":
+                    ticket = next(iter(it.gateway.engine.tickets.values()))
+                    it.gateway.engine._carry_out(0.0, api.CallOff(ticket.id, 0))
+                    await it.until(lambda: bool(it.ended))
+                else:
+                    await anyio.sleep(0.005)
+                monkeypatch.setattr(Scheduler, "handle", handle)
+                up.set()
+
+            monkeypatch.setattr(Pool, "get", late)
+            if order != "it is called off":
+                monkeypatch.setattr(Scheduler, "handle", bounded)
+            it.group.start_soon(later)
+            reply = await it.ask("PUT", READ, b"x", winchdyke_class="once")
+            assert it.outcomes == ["UNSENT", "SERVED"] and reply.status == 201
+            assert len([seen for seen in it.record.seen if seen["what"] == "whole"]) == 1
+
+    run()
