A sync that is over before it is waited for no longer stops the event loop for good

Cause: writeback.py, add_done_callback calls at once in the caller's thread where the future is done. A gateway with write-back would have stood still for good.

Change: loop.call_soon_threadsafe tells the waiter.

--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 import errno
+import threading
+from concurrent.futures import Future
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +14,7 @@
 from rig import Rig, played, rig, settings
 
 from winchdyke.config.model import S3, Listen, WriteBack
+from winchdyke.gateway import writeback as gateway_writeback
 from winchdyke.gateway.daemon import Gateway, StartError
 
 
@@ -259,3 +262,15 @@
     with pytest.raises(StartError, match="in use by another process"):
         Gateway(config(tmp_path))
     first.writeback.committer.close()
+
+
+def test_a_sync_is_over_before_it_is_waited_for_and_the_gateway_goes_on():
+    """Beside plays that took all cores the loop waited for itself, for good: two workers of the suite, and a gateway would."""
+    made, found = Future[int](), list[int]()
+    made.set_result(7)
+    waits = threading.Thread(
+        target=lambda: found.append(anyio.run(gateway_writeback.WriteBack._synced, made)), daemon=True
+    )
+    waits.start()
+    waits.join(10.0)
+    assert found == [7]
--- a/winchdyke/gateway/writeback.py
+++ b/winchdyke/gateway/writeback.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import hashlib
 import time
 from collections import Counter
@@ -17,8 +19,6 @@
 from pathlib import Path
 
 import anyio
-import anyio.from_thread
-import anyio.lowlevel
 import anyio.to_thread
 import msgspec
 import structlog
@@ -254,8 +254,15 @@
 
     @staticmethod
     async def _synced(made: Future[int]) -> int:
-        done, token = anyio.Event(), anyio.lowlevel.current_token()
-        made.add_done_callback(lambda _: anyio.from_thread.run_sync(done.set, token=token))
+        done, loop = anyio.Event(), asyncio.get_running_loop()
+
+        def told(_: Future[int]) -> None:
+            # Guards against a sync that is over before it is waited for: this is called in the loop's own thread then, which would
+            # wait for itself, and the gateway would stand still. The loop may have ended, and nobody waits.
+            with contextlib.suppress(RuntimeError):
+                loop.call_soon_threadsafe(done.set)
+
+        made.add_done_callback(told)
         await done.wait()
         return made.result()
 
