Long bodies that come chunked are held within the memory too

Change: Client._hold counts a body as it grows; one check serves both kinds.

Measured: 24 tests of test_crossings_late.py pass, the new lines among them (108 KB in four chunks is served, a megabyte is not).

--- a/tests/test_crossings_late.py
+++ b/tests/test_crossings_late.py
@@ -272,6 +272,14 @@
             assert (await it.ask(request(len(body)) + body))[0] == 503, "not both at once"
             writer.write(body[1000:])
             assert (await answer(reader))[0] == 200
+            chunked = {"Req-Kind": "write", "Content-Length": "", "Transfer-Encoding": "chunked"}
+            text = it.request(**chunked, **{"Req-Deadline-Ms": "9000"})[:-3]
+            piece = b"6978\r\n" + body[:27_000] + b"\r\n"
+            assert (await it.ask(text + 4 * piece + b"0\r\n\r\n"))[0] == 200
+            it.gateway.clients.long_most = 1e9
+            assert (await it.ask(text.replace(b"000", b"00f", 1) + 40 * piece))[0] == 413, (
+                "and not without end"
+            )
             assert (await it.ask(request(len(body)) + body))[0] == 200 and not it.gateway.clients.long
             writer.close()
 
--- a/winchdyke/platform/clients.py
+++ b/winchdyke/platform/clients.py
@@ -186,10 +186,7 @@
                 if isinstance(piece, End):
                     break
                 self._body += piece
-                if len(self._body) > max(wire.BODY_MOST, self.long):
-                    raise ProtocolError(
-                        413, "too-large", f"a body of no stated length may hold {wire.BODY_MOST} bytes"
-                    )
+                self._hold(len(self._body))
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
             return
@@ -210,13 +207,16 @@
             self.reject(error.status, error.reason, str(error))
 
     def _hold(self, length: int) -> None:
-        """Keep room for a body that is longer than the protocol's bound."""
+        """Keep room for a body so long, where that is beyond the protocol's bound."""
         # Guards against long bodies that together take this machine's memory. It hurts the one that comes when all room is held.
-        if length > wire.BODY_MOST:
-            if self._ports.long + length > self._ports.long_most:
-                raise ProtocolError(503, "too-large", "all room for long bodies is held; try again")
-            self.long = length
-            self._ports.long += length
+        more = length - self.long
+        if length <= wire.BODY_MOST or more <= 0:
+            return
+        if length > self._ports.reader.body_most:
+            raise wire.too_large(self._ports.reader.body_most)
+        if self._ports.long + more > self._ports.long_most:
+            raise ProtocolError(503, "too-large", "all room for long bodies is held; try again")
+        self.long, self._ports.long = length, self._ports.long + more
 
     def _wait_for_more(self) -> None:
         if self._over:
--- a/winchdyke/platform/wire.py
+++ b/winchdyke/platform/wire.py
@@ -81,11 +81,16 @@
     return ProtocolError(400, reason, text)
 
 
+def too_large(most: int) -> ProtocolError:
+    """A body is longer than is taken here."""
+    return ProtocolError(413, "too-large", f"a body may hold {most} bytes")
+
+
 class Reader:
     """Reads the heads of clients' requests by the settings."""
 
     def __init__(self, settings: api.Settings, body_most: int = BODY_MOST) -> None:
-        self._body_most = body_most
+        self.body_most = body_most
         self._kinds = {kind.name.encode(): kind for kind in settings.classes}
         self._plans = {plan.name.encode(): plan.name for plan in settings.plans}
         self._most, self._gateways = settings.largest_units, settings.gateways
@@ -97,8 +102,8 @@
             if name in found and name in OWN:
                 raise _bad("bad-header", f"more than one {name.decode()}")
             found[name] = value
-        if head.length is not None and head.length > self._body_most:
-            raise ProtocolError(413, "too-large", f"a body may hold {self._body_most} bytes")
+        if head.length is not None and head.length > self.body_most:
+            raise too_large(self.body_most)
         path = PATH.fullmatch(head.target)
         if path is None:
             raise ProtocolError(404, "bad-path", "the path is not /api/VOLUME/DATA, 16 hex digits each")
