Where lists are asked for, a new process waits for no word of discovery

Cause: service.py, the wait was for all deployments. What guards it holds where lists are pushed: there the agent's word counts as told from a process's first moment. Where they are asked for (settings: discovery on_request) nothing counts before it is asked for.

Change: no wait there. Pushed lists as before.

--- a/tests/test_crossings_watches.py
+++ b/tests/test_crossings_watches.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+import test_platform
 from test_platform_sockets import Site, answer, discovery, port_of, site, until
 
 from winchdyke.platform import discovery as watching
@@ -229,6 +230,18 @@
     asyncio.run(play())
 
 
+def test_where_lists_are_asked_for_a_new_process_waits_for_no_word(tmp_path, monkeypatch):
+    """halden-mirror, herd+mass, two seeds: the wait cost 0.024 of what is served, and guards nothing there."""
+    monkeypatch.setattr(service, "START_S", 60.0)
+    monkeypatch.setattr(test_platform, "TOLD", {**test_platform.TOLD, "discovery": "on_request"})
+
+    async def play() -> None:
+        async with site(tmp_path, lists_of=silent) as it:
+            assert (await it.ask(**{"Req-Deadline-Ms": "2000"}))[0] == 200
+
+    asyncio.run(play())
+
+
 def test_the_list_of_before_is_told_by_its_lines_also_where_discovery_moves_back(tmp_path):
     async def play() -> None:
         async with site(tmp_path) as it:
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -30,6 +30,7 @@
 CLIENT_PART = 0.7  # of the other descriptors; what is left is for stores
 # What discovery's agent has counts as told from a process's first moment, and it answers at once: nobody is served by a list
 # of an earlier life before that. Where discovery is down it says nothing, and a gateway that waited for it would serve nobody.
+# Where lists are asked for, nothing counts as told before it is, and nothing is waited for.
 START_S = 1.0
 LATE_MS = 300.0  # after a client's leaving: what is sent on then is counted
 STOP_LOOK_S = 0.02  # between looks at what is still open while stopping
@@ -86,7 +87,7 @@
         self.clients = Clients(loop, self.clock, self._sock, reader, self._take, clients, memory * LONG_PART)
         self.follower = Follower(loop, told.discovery, known.version, self._heard)
         self.follower.spoken.add_done_callback(lambda _: self.clients.accept(True))
-        loop.call_later(START_S, self.clients.accept, True)
+        loop.call_later(0.0 if told.settings.must_ask else START_S, self.clients.accept, True)
         self.over = loop.create_future()
         self._leaving: Leaving | None = None
         self._lag, self._worst_lag = loop.time(), 0.0
