Tests of half-written bodies share their narrow connections and their listener

Need: test_crossings_late.py had the eighteen lines of test_crossings_sends.py again.

Change: narrow, listener_of_little and moved serve both; what is asserted stays.

--- a/tests/test_crossings_late.py
+++ b/tests/test_crossings_late.py
@@ -4,21 +4,19 @@
 
 import asyncio
 import json
-import socket
 
 import pytest
 import test_platform
 from conftest import Gateway, node, request
-from test_crossings_sends import Dials, leave, settled
+from test_crossings_sends import Dials, leave, listener_of_little, moved, narrow, settled
 from test_crossings_watches import HEAD, chunk
 from test_platform import TOLD
 from test_platform_sockets import GOOD, answer, site, until
 
 from winchdyke import interface as api
 from winchdyke.interface import Outcome
-from winchdyke.platform import clients, stores, wire
+from winchdyke.platform import clients, wire
 from winchdyke.platform.clients import State
-from winchdyke.platform.stores import Link, Stores
 
 
 @pytest.mark.parametrize("where", ["in the queue", "on a connection that rests"])
@@ -90,23 +88,12 @@
 
 def test_an_answer_comes_before_the_last_byte_was_written_and_is_not_this_requests(tmp_path, monkeypatch):
     """A second answer, later than a connection rests: the next request, still half written, was served with it."""
-    begin = Stores.dial
-
-    def narrow(of: Stores, place: stores.Place) -> Link:
-        link = begin(of, place)
-        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return link
-
-    monkeypatch.setattr(Stores, "dial", narrow)
+    narrow(monkeypatch)
 
     async def play() -> None:
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
+        with listener_of_little() as listener:
             async with site(tmp_path) as it:
-                it.tell(2, addr=f"127.0.0.1:{listener.getsockname()[1]}")
-                await until(lambda: it.gateway.follower.version == 2)
+                await moved(it, listener)
                 body = b"x" * 60000
                 length = {"Content-Length": str(len(body)), "Req-Deadline-Ms": "1500"}
                 request = it.request(**{"Req-Kind": "write", **length})
--- a/tests/test_crossings_sends.py
+++ b/tests/test_crossings_sends.py
@@ -57,6 +57,33 @@
     await asyncio.sleep(0.02)
 
 
+def narrow(patch: pytest.MonkeyPatch) -> None:
+    """Connections to stores take little at a time: a body is half written for as long as its store reads nothing."""
+    begin = Stores.dial
+
+    def dial(of: Stores, place: stores.Place) -> Link:
+        link = begin(of, place)
+        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return link
+
+    patch.setattr(Stores, "dial", dial)
+
+
+def listener_of_little() -> socket.socket:
+    """A store's listener whose connections take little unread."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    return listener
+
+
+async def moved(it: Site, listener: socket.socket) -> None:
+    """The store is at another address from now on."""
+    it.tell(2, addr=f"127.0.0.1:{listener.getsockname()[1]}")
+    await until(lambda: it.gateway.follower.version == 2)
+
+
 def leave(writer: asyncio.StreamWriter, how: str) -> None:
     if how == "reset":
         sock = writer.get_extra_info("socket")
@@ -194,23 +221,12 @@
 
 @pytest.mark.parametrize("how", ["close", "reset"])
 def test_a_client_leaves_while_its_body_is_half_written_the_rest_is_not(tmp_path, monkeypatch, how):
-    begin = Stores.dial
-
-    def narrow(of: Stores, place: stores.Place) -> Link:
-        link = begin(of, place)
-        link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return link
-
-    monkeypatch.setattr(Stores, "dial", narrow)
+    narrow(monkeypatch)
 
     async def play() -> None:
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
+        with listener_of_little() as listener:
             async with site(tmp_path) as it:
-                it.tell(2, addr=f"127.0.0.1:{listener.getsockname()[1]}")
-                await until(lambda: it.gateway.follower.version == 2)
+                await moved(it, listener)
                 body = b"x" * 60000
                 request = it.request(
                     **{"Req-Kind": "write", "Content-Length": str(len(body)), "Req-Deadline-Ms": "9000"}
