Tests with bounds in real time are played last, and are void where the host stood still

Change: 23 tests whose bounds are in real time are marked `measured` (tests/host.py). scripts/test plays them after all others, two at a time. A failed play of one counts at once where the host ran; where it stood still for 50 ms within half a second (stolen time and waits for a processor, from the kernel's own counters) the play is void and played anew, four in all, and the last one counts.

--- a/tests/test_change_cases.py
+++ b/tests/test_change_cases.py
@@ -16,6 +16,7 @@
 import anyio
 import anyio.to_thread
 import pytest
+from host import measured
 from hypothesis import given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
@@ -647,6 +648,7 @@
 
 
 @pytest.mark.parametrize("limit", [(200, 24), (24, 200)])
+@measured
 def test_three_gateways_whose_clocks_are_apart_hold_the_lower_limit_in_sum_while_they_differ(tmp_path, limit):
     """Stores' traffic alone tells. Clocks are 2 s apart; where the limit is lowered it holds from before the first one changes."""
     old, new = limit
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -14,6 +14,7 @@
 import anyio.to_thread
 import pytest
 from click.testing import CliRunner
+from host import measured
 from hypothesis import given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
@@ -512,6 +513,7 @@
     assert explore(Changing(careless=careless)).broken
 
 
+@measured
 def test_a_short_change_day_keeps_all_seven_rules_and_shows_no_mix():
     from winchdyke.days import script
     from winchdyke.days.run import run_day
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -18,6 +18,7 @@
 import msgspec
 import pytest
 from click.testing import CliRunner
+from host import measured
 from rig import INI
 
 from winchdyke.cli.main import main
@@ -26,6 +27,7 @@
 from winchdyke.days.run import run_day
 
 
+@measured
 def test_a_short_bad_day_keeps_all_seven_rules():
     day = script.bad_day(3, length=12_000.0, rate=70.0)
     assert {event.kind for event in day.events} >= {
@@ -78,6 +80,7 @@
 }  # fmt: skip
 
 
+@measured
 def test_a_day_of_the_simulator_is_played_at_loopback_size(tmp_path):
     source, out = tmp_path / "bench.json", tmp_path / "day.json"
     source.write_text(json.dumps(BENCH))
@@ -190,6 +193,7 @@
         assert dev.wait(10) == 0
 
 
+@measured
 def test_sigterm_with_200_requests_out_answers_them_all():
     """A real process: 200 requests are out or held as it is told to stop."""
     from winchdyke.days.judge import Judge
--- a/tests/test_fleet_day.py
+++ b/tests/test_fleet_day.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import pytest
+from host import measured
 
 from winchdyke.days import script
 from winchdyke.days.members import Views
@@ -18,6 +19,7 @@
 from winchdyke.standins.record import Record
 
 
+@measured
 def test_three_gateways_lose_links_are_stopped_killed_and_started_and_their_views_hold():
     """Real processes: a deaf one, one stopped, kills, a leave, a cut, datagrams lost all the while."""
     day = script.fleet_day(4, 36_000.0, 3)
--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -15,6 +15,7 @@
 import anyio
 import pytest
 from click.testing import CliRunner
+from host import measured
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from rig import played, rig
@@ -423,6 +424,7 @@
 
 
 @pytest.mark.parametrize(("count", "spread_s", "class_name"), [(60, 0.0, ""), (60, 0.02, "export")])
+@measured
 def test_waits_behind_a_burst_and_an_export_stream_are_what_traffic_shows(
     tmp_path, count, spread_s, class_name
 ):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,6 +12,7 @@
 import anyio
 import h11
 import pytest
+from host import measured
 from hypothesis import given
 from hypothesis import settings as examples
 from hypothesis import strategies as st
@@ -198,6 +199,7 @@
 
 
 @pytest.mark.parametrize("dialect", DIALECTS)
+@measured
 def test_objects_put_one_after_another_pay_for_all_their_bytes(dialect):
     """Eight objects of 128 units: 1,024 units where 400 a second may go, and a burst of 100."""
 
@@ -228,6 +230,7 @@
 
 @pytest.mark.parametrize("dialect", DIALECTS)
 @pytest.mark.parametrize("asked", ["whole", "range"])
+@measured
 def test_what_is_read_is_paid_for_as_it_is_heard_of(dialect, asked):
     @played
     async def run():
@@ -251,6 +254,7 @@
 
 
 @pytest.mark.parametrize("dialect", DIALECTS)
+@measured
 def test_small_requests_of_a_course_go_on_beside_its_large_one(dialect):
     """Half of the rate is theirs while the debt stands; large ones are told when to come back, truly."""
 
@@ -272,6 +276,7 @@
     run()
 
 
+@measured
 def test_a_large_one_that_comes_back_when_it_was_told_to_is_served():
     @played
     async def run():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,7 @@
 
 import anyio
 import pytest
+from host import measured
 from rig import played, rig, settings
 
 from winchdyke import interface as api
@@ -523,6 +524,7 @@
     assert os.listdir(tmp_path) == ["file"]
 
 
+@measured
 def test_a_short_blind_day_keeps_all_seven_rules():
     """Discovery is down while gateways start anew, stores drain by their own word, and an address is reused."""
     from winchdyke.days import script
