Datagrams of the fleet wait for no name server; clocks apart and phi accrual in the model

Seen in reading: `Node._send` gave a peer's host to sendto() as it stood, and the system looks a name up within that call, in the event loop: with a name server that does not answer, all of the gateway stands for its time-outs. TCP exchanges were not at fault (their lookup is a thread's).

Change: fleet/names.py knows addresses by name, pure; lookups go beside the loop, one at a time for a name, anew every 30 s; the last address counts while no server answers; four datagrams wait for the first one. model/fleet.py: clocks that run apart, drawn for each process. benchmarks/members.py: phi accrual (its window and threshold from the paper), clocks apart, several at once, and a detection that counts once every view has it.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -1,6 +1,6 @@
-"""Membership in virtual time: as it is, plain SWIM, and heartbeats to all, under loss, pauses, one-sided cuts and a split.
+"""Membership in virtual time: as it is, plain SWIM, heartbeats and phi accrual, under loss, pauses, one-sided cuts, a split, drift.
 
-    python -m benchmarks.members [--members 24] [--seeds 3] [--plot docs/figures/members.png]
+    python -m benchmarks.members [--members 24] [--seeds 3] [--large 250] [--plot docs/figures/members.png]
 
 Simulated figures, all of them: real machines on the model's network (winchdyke/model/fleet.py). For each way: ms until a killed
 member is dead in every view (median and most over seeds), deaths of members that ran (for each member and hour), bytes a second
@@ -10,7 +10,10 @@
 from __future__ import annotations
 
 import argparse
+import math
 import statistics
+from collections import defaultdict, deque
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 
 from winchdyke.fleet import wire
@@ -23,7 +26,11 @@
 from winchdyke.model.fleet import Fleet, Links
 
 HOUR = 3_600_000.0
+LOSSES = (0.0, 0.1, 0.2, 0.3, 0.4)
+DRIFTS = (0.0, 0.01, 0.05)
 LOST_BEATS = 5.0  # intervals without a heartbeat after which a member is dead
+# Phi accrual: the threshold of Hayashibara et al. (2004) that later systems took over, their window and least deviation.
+PHI_DEAD, PHI_WINDOW, PHI_LEAST = 8.0, 200, 0.1
 
 
 class Plain(Machine):
@@ -64,8 +71,7 @@
                 if member.state is not State.LEFT:
                     self._tell(member.name, wire.Kind.PING, entries=[self._self()])
         for member in self.book.members.values():
-            late = self.now - max(member.heard, member.since) > LOST_BEATS * self.bounds.interval
-            if member.there and late:
+            if member.there and self._late(member):
                 self._learn(said(member.entry, State.DEAD, self.own.name), self.own.name)
             elif member.state is State.DEAD and member.heard > member.since:
                 member.entry, member.since = said(member.entry, State.ALIVE, ""), self.now
@@ -73,19 +79,50 @@
         if self.now >= self._seed_at and len(self.book.members) + 1 < self.own.gateways:
             self._try_seed()
 
+    def _late(self, member: Member) -> bool:
+        return self.now - max(member.heard, member.since) > LOST_BEATS * self.bounds.interval
+
+
+class Phi(Beats):
+    """Heartbeats to everybody, judged by each link's own history: dead where one this late is one in 10^8."""
+
+    def __init__(self, own: events.Own, bounds: Bounds, seed: int, now: float) -> None:
+        super().__init__(own, bounds, seed, now)
+        self._gaps: defaultdict[str, deque[float]] = defaultdict(lambda: deque(maxlen=PHI_WINDOW))
+        self._last: dict[str, float] = {}
+
+    def _arrived(self, what: events.Arrived) -> None:
+        super()._arrived(what)
+        name = what.message.sender
+        if name in self.book.members and what.message.kind == wire.Kind.PING:
+            if name in self._last:
+                self._gaps[name].append(self.now - self._last[name])
+            self._last[name] = self.now
+
+    def _late(self, member: Member) -> bool:
+        gaps = self._gaps[member.name]
+        if len(gaps) < 2:
+            return super()._late(member)
+        mean = statistics.fmean(gaps)
+        deviation = max(PHI_LEAST * self.bounds.interval, statistics.pstdev(gaps, mean))
+        passed = self.now - max(self._last[member.name], member.since)
+        later = 0.5 * math.erfc((passed - mean) / deviation / math.sqrt(2))
+        return later < 10.0**-PHI_DEAD
+
 
 SWIM = replace(Bounds(), health_most=0, patience=1.0, sight=-1.0)
 WAYS: dict[str, tuple[type[Machine], Bounds]] = {
     "as it is": (Machine, Bounds()),
     "plain SWIM": (Plain, SWIM),
     "heartbeats": (Beats, Bounds()),
+    "phi accrual": (Phi, Bounds()),
 }
 
 
-def made(way: str, members: int, seed: int, zones: int = 1) -> Fleet:
+def made(way: str, members: int, seed: int, zones: int = 1, drift: float = 0.0) -> Fleet:
     """A fleet that has settled."""
     make, bounds = WAYS[way]
-    fleet = Fleet(members, seed, bounds, zones=zones, make=make)
+    fleet = Fleet(members, seed, bounds, zones=zones, make=make, drift=drift)
     fleet.run(3000.0)
     fleet.until_agreed(30_000.0)
     fleet.run(fleet.now + 10_000.0)
@@ -103,24 +140,33 @@
     return sum(found) / len(found)
 
 
-def detection(way: str, members: int, seeds: int, loss: float) -> tuple[float, float, float]:
-    """ms to detect (median, most), and false deaths for each member and hour, at a loss."""
+def detection(
+    way: str, members: int, seeds: int, loss: float, drift: float = 0.0, length: float = 120_000.0
+) -> tuple[float, float, float]:
+    """ms to detect (median, most), and false deaths for each member and hour, at a loss, with clocks so far apart."""
     took, wrong, hours = list[float](), 0, 0.0
     for seed in range(seeds):
-        fleet = made(way, members, seed)
+        fleet = made(way, members, seed, drift=drift)
         fleet.links.loss = loss
         since = fleet.now
-        fleet.run(since + 120_000.0)
+        fleet.run(since + length)
         wrong += deaths(fleet, since)
-        hours += members * 120_000.0 / HOUR
+        hours += members * length / HOUR
         at = fleet.now
         fleet.kill("g1")
-        fleet.run(at + 40_000.0)
+        while fleet.now < at + 60_000.0 and not _all_know(fleet, at, "g1"):
+            fleet.run(fleet.now + 500.0)
         told = [t.at - at for t in fleet.told if t.at >= at and t.member == "g1" and t.state == "dead"]
-        took.append(max(told) if len({t for t in told}) else float("inf"))
+        took.append(max(told) if _all_know(fleet, at, "g1") else float("inf"))
     return statistics.median(took), max(took), wrong / hours
 
 
+def _all_know(fleet: Fleet, at: float, member: str) -> bool:
+    """Whether every view has called a member dead since a time."""
+    knows = {t.viewer for t in fleet.told if t.at >= at and t.member == member and t.state == "dead"}
+    return knows >= set(fleet.lives)
+
+
 def trouble(way: str, members: int, what: str) -> tuple[float, float, float]:
     """False deaths for each member and hour, bytes a second meanwhile, ms until views agree after it."""
     fleet = made(way, members, 5, zones=2)
@@ -143,37 +189,70 @@
     return wrong, cost, float("inf") if agreed is None else agreed
 
 
+def _told(job: tuple[str, int, int, float, float, float]) -> tuple[float, float, float]:
+    return detection(*job)
+
+
+def _troubled(job: tuple[str, int, str]) -> tuple[float, float, float]:
+    return trouble(*job)
+
+
+def _at_rest(way: str, members: int) -> tuple[float, int]:
+    fleet = Fleet(members, 1, WAYS[way][1], make=WAYS[way][0])
+    fleet.run(14_000.0)
+    return rate(fleet, 9000.0), fleet.largest
+
+
 def main() -> None:
     words = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     words.add_argument("--members", type=int, default=24)
     words.add_argument("--seeds", type=int, default=3)
     words.add_argument("--large", type=int, default=250)
+    words.add_argument("--length", type=float, default=120.0, help="seconds of loss before the kill")
+    words.add_argument("--jobs", type=int, default=1)
+    words.add_argument("--only", choices=("loss", "drift", "trouble", "rest"))
+    words.add_argument("--ways", nargs="+", choices=list(WAYS), default=list(WAYS))
     words.add_argument("--plot")
     chosen = words.parse_args()
-    losses = (0.0, 0.1, 0.2, 0.3, 0.4)
-    found = {way: [detection(way, chosen.members, chosen.seeds, loss) for loss in losses] for way in WAYS}
-    print(
-        f"{chosen.members} members, {chosen.seeds} seeds, interval 1 s: ms to detect (median/most), false deaths a member and hour"
-    )
-    for way, rows in found.items():
-        cells = (f"{median:6.0f}/{most:6.0f} {wrong:7.2f}" for median, most, wrong in rows)
-        print(
-            f"  {way:11}" + "  ".join(f"{loss:.0%}: {cell}" for loss, cell in zip(losses, cells, strict=True))
-        )
-    print(
-        "trouble for 2 minutes: false deaths a member and hour, bytes/s for each member, ms until views agree after it"
-    )
-    for what in ("pauses", "one-sided", "split"):
-        for way in WAYS:
-            wrong, cost, agreed = trouble(way, chosen.members, what)
-            print(f"  {what:9} {way:11} {wrong:8.2f} {cost:8.0f} {agreed:8.0f}")
-    print(f"bytes/s for each of {chosen.large} members at rest, over 10 s")
-    for way in WAYS:
-        fleet = Fleet(chosen.large, 1, WAYS[way][1], make=WAYS[way][0])
-        fleet.run(14_000.0)
-        print(f"  {way:11} {rate(fleet, 9000.0):8.0f}  largest datagram {fleet.largest}")
-    if chosen.plot:
-        plot(chosen.plot, losses, found)
+    members, seeds, length, ways = chosen.members, chosen.seeds, 1000 * chosen.length, chosen.ways
+    wanted = {chosen.only} if chosen.only else {"loss", "drift", "trouble", "rest"}
+    with ProcessPoolExecutor(chosen.jobs) as pool:
+        if "loss" in wanted:
+            jobs = [(way, members, seeds, loss, 0.0, length) for way in ways for loss in LOSSES]
+            rows = list(pool.map(_told, jobs))
+            found = {way: rows[len(LOSSES) * n : len(LOSSES) * (n + 1)] for n, way in enumerate(ways)}
+            print(
+                f"{members} members, {seeds} seeds, interval 1 s: ms to detect (median/most), false deaths a member and hour"
+            )
+            for way, row in found.items():
+                cells = (f"{median:6.0f}/{most:6.0f} {wrong:7.2f}" for median, most, wrong in row)
+                print(
+                    f"  {way:11}"
+                    + "  ".join(f"{loss:.0%}: {c}" for loss, c in zip(LOSSES, cells, strict=True)),
+                    flush=True,
+                )
+            if chosen.plot:
+                plot(chosen.plot, LOSSES, found)
+        if "drift" in wanted:
+            print("clocks up to so far apart, a fifth of datagrams lost")
+            jobs = [("as it is", members, seeds, 0.2, drift, length) for drift in DRIFTS]
+            for drift, (median, most, wrong) in zip(DRIFTS, pool.map(_told, jobs), strict=True):
+                print(f"  {drift:.0%}: {median:6.0f}/{most:6.0f} {wrong:7.2f}", flush=True)
+        if "trouble" in wanted:
+            print(
+                "trouble for 2 minutes: false deaths a member and hour, bytes/s for each member, ms until views agree after it"
+            )
+            troubles = [(way, members, what) for what in ("pauses", "one-sided", "split") for way in ways]
+            for (way, _, what), (wrong, cost, agreed) in zip(
+                troubles, pool.map(_troubled, troubles), strict=True
+            ):
+                print(f"  {what:9} {way:11} {wrong:8.2f} {cost:8.0f} {agreed:8.0f}", flush=True)
+        if "rest" in wanted:
+            print(f"bytes/s for each of {chosen.large} members at rest, over 5 s")
+            for way, (cost, largest) in zip(
+                ways, pool.map(_at_rest, ways, [chosen.large] * len(ways)), strict=True
+            ):
+                print(f"  {way:11} {cost:8.0f}  largest datagram {largest}", flush=True)
 
 
 def plot(path: str, losses: tuple[float, ...], found: dict[str, list[tuple[float, float, float]]]) -> None:
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -99,6 +99,24 @@
     assert not said(fleet, since, "dead")
 
 
+def test_clocks_that_run_apart_by_a_hundredth_kill_nobody_and_tell_a_kill_in_time():
+    """Bounds are in the viewers' own milliseconds: a slow clock stretches them by its own part, and nothing more."""
+    drift = 0.01
+    fleet = settled(8, 3, drift=drift)
+    rates = [life.rate for life in fleet.lives.values()]
+    assert max(rates) - min(rates) > drift, "clocks that do run apart"
+    fleet.links.loss = 0.2
+    since = fleet.now
+    fleet.run(since + 600_000.0)
+    shown = [life.clock(fleet.now) - fleet.now for life in fleet.lives.values()]
+    assert max(shown) - min(shown) > 5_000.0, "seconds apart by now"
+    assert not said(fleet, since, "dead")
+    fleet.links.loss = 0.0
+    fleet.kill("g1")
+    took = fleet.until_agreed(60_000.0)
+    assert took is not None and took <= fleet.bounds.detected(8) / (1 - drift)
+
+
 def test_datagrams_gone_and_streams_whole_kills_nobody_and_the_other_way_neither():
     fleet = settled(5)
     since = fleet.now
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -21,6 +21,7 @@
 from winchdyke.config.loading import load_file
 from winchdyke.config.model import Config, Fleet, Listen
 from winchdyke.fleet import disk, wire
+from winchdyke.fleet.names import AGAIN_MS, FRESH_MS, MOST, Names
 from winchdyke.fleet.node import FleetError, Node
 
 BASE = Path(__file__).resolve().parent.parent / "winchdyke" / "config" / "defaults.conf"
@@ -90,6 +91,79 @@
     anyio.run(play)
 
 
+class Sends:
+    """A socket that keeps which hosts were sent to."""
+
+    def __init__(self, inner: socket.socket) -> None:
+        self.inner, self.hosts = inner, set[str]()
+
+    def sendto(self, data: bytes, where: tuple[str, int]) -> int:
+        self.hosts.add(where[0])
+        return self.inner.sendto(data, where)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.inner, name)
+
+
+def test_a_peer_with_a_name_is_joined_and_no_datagram_waits_for_a_name_server(tmp_path, monkeypatch):
+    """The system looks a name up within sendto: with a name server that is silent, no request is served meanwhile."""
+    asked = list[str]()
+    answers = anyio.Event()
+    real = anyio.getaddrinfo
+
+    async def looked_up(host, port, **more):
+        if host != "gateway-one.example":
+            return await real(host, port, **more)
+        asked.append(host)
+        await answers.wait()
+        return await real("127.0.0.1", port, **more)
+
+    monkeypatch.setattr(anyio, "getaddrinfo", looked_up)
+    monkeypatch.setattr("anyio._core._sockets.getaddrinfo", looked_up)  # what its connections use
+
+    async def play() -> None:
+        one = Node(config(tmp_path, "one"), clock)
+        await one.open()
+        peer = ("one", Listen("gateway-one.example", one.address[1]))
+        two = Node(config(tmp_path, "two", seeds=(Listen(*one.address),), peers=(peer,)), clock)
+        await two.open()
+        two._udp = sends = Sends(two._udp)  # type: ignore[assignment]
+        async with running(one, two):
+            await until(lambda: states(two) == {"one": "alive"} and bool(asked))
+            assert not sends.hosts, "held, or lost as on the way, while nobody knows the address"
+            answers.set()
+            await until(lambda: "127.0.0.1" in sends.hosts)
+            await until(lambda: two.standing()["members"][0]["link"] == "both")
+            assert sends.hosts == {"127.0.0.1"}
+
+    anyio.run(play)
+
+
+def test_names_are_looked_up_one_at_a_time_anew_when_old_and_kept_where_nobody_answers():
+    names = Names()
+    assert names.send("10.0.0.1", "1", b"a", 0.0) == ("10.0.0.1", False)
+    assert names.send("::1", "1", b"a", 0.0) == ("::1", False)
+    assert names.send("gw", "1", b"a", 0.0) == ("", True)
+    assert names.send("gw", "2", b"b", 0.0) == ("", False), "under way already"
+    for _ in range(10):
+        names.send("gw", "2", b"c", 0.0)
+    assert names.found("gw", "10.0.0.2", 1.0) == [("1", b"a"), ("2", b"b"), ("2", b"c"), ("2", b"c")]
+    assert names.send("gw", "1", b"d", 2.0) == ("10.0.0.2", False)
+    assert names.send("gw", "1", b"d", 1.0 + FRESH_MS) == ("10.0.0.2", True), (
+        "used while it is looked up anew"
+    )
+    assert names.found("gw", "", 40_000.0) == []
+    assert names.send("gw", "1", b"d", 40_001.0) == ("10.0.0.2", False), "no name server: as it was"
+    assert names.send("gw", "1", b"d", 40_000.0 + AGAIN_MS) == ("10.0.0.2", True)
+    assert names.found("gw", "10.0.0.3", 43_000.0) == []
+    assert names.send("gw", "1", b"d", 43_001.0) == ("10.0.0.3", False), "it has moved"
+    assert names.send("lost", "1", b"e", 0.0) == ("", True)
+    assert names.found("lost", "", 1.0) == [] and names.send("lost", "1", b"e", 2.0) == ("", False)
+    for number in range(2 * MOST):
+        names.send(f"host-{number}", "1", b"", 0.0)
+    assert len(names._names) == MOST
+
+
 def test_a_peer_that_the_settings_gain_in_service_is_joined(tmp_path):
     async def play() -> None:
         one, two = (Node(config(tmp_path, name), clock) for name in ("one", "two"))
--- a/winchdyke/fleet/node.py
+++ b/winchdyke/fleet/node.py
@@ -27,6 +27,7 @@
 from winchdyke.fleet.members import machine as m
 from winchdyke.fleet.members.bounds import Bounds
 from winchdyke.fleet.members.view import View
+from winchdyke.fleet.names import Names
 
 LENGTH = struct.Struct(">I")
 STREAMS = 8  # exchanges under way at once, each way
@@ -36,6 +37,7 @@
 RECEIVE = 1 << 18  # bytes of the socket's own buffer asked for
 SAVE_S = 2.0  # between writes of the members to the disk
 HISTORY = 500  # notes kept for people
+LOOK_UP_S = 5.0  # for a name server to answer
 UNSEALED_LOG_S = 10.0  # between log lines on what was dropped
 
 
@@ -63,6 +65,7 @@
         self._wake = anyio.Event()
         self._streams = anyio.Semaphore(STREAMS)
         self._group: TaskGroup | None = None
+        self._names = Names()
         self._dropped_at = 0.0
         self.over = False  # a later process has this name
         self.address = ("", 0)
@@ -305,12 +308,35 @@
         data = wire.seal(action.message, self._secrets[0])
         self.counts["sent"] += 1
         self.counts["sent-bytes"] += len(data)
+        host = host.strip("[]")
+        where, ask = self._names.send(host, port, data, self.clock())
+        if ask and self._group is not None:
+            self._group.start_soon(self._look_up, host)
+        if where:
+            self._send_to(where, port, data)
+
+    def _send_to(self, address: str, port: str, data: bytes) -> None:
         try:
             assert self._udp is not None
-            self._udp.sendto(data, (host.strip("[]"), int(port)))
+            self._udp.sendto(data, (address, int(port)))
         except (OSError, ValueError, OverflowError):
             self.counts["send-failed"] += 1  # as if lost on the way
 
+    async def _look_up(self, host: str) -> None:
+        assert self._udp is not None
+        address = ""
+        try:
+            with anyio.move_on_after(LOOK_UP_S):
+                found = await anyio.getaddrinfo(host, None, family=self._udp.family, type=socket.SOCK_DGRAM)
+                address = str(found[0][4][0])
+        except (OSError, UnicodeError, IndexError):
+            pass
+        if not address:
+            self.counts["name-unknown"] += 1
+            self._log.warning("fleet", trouble="a host's name has no address", host=host)
+        for port, data in self._names.found(host, address, self.clock()):
+            self._send_to(address, port, data)
+
     # Exchanges over TCP.
 
     async def _exchange(self, action: events.Exchange) -> None:
--- a/winchdyke/model/fleet.py
+++ b/winchdyke/model/fleet.py
@@ -49,11 +49,20 @@
     index: int
     machine: Machine
     began: float
+    rate: float = 1.0  # of its clock: how many of its milliseconds go by in one
     ended: float | None = None
     paused_until: float = 0.0
     forgets: bool = False  # what comes while it stands still is lost, as where its host has no room for it
     waiting: list[events.Arrived | events.Exchanged] = field(default_factory=list)
 
+    def clock(self, now: float) -> float:
+        """What its own clock shows at a time."""
+        return self.began + (now - self.began) * self.rate
+
+    def when(self, shown: float) -> float:
+        """When its own clock shows a time."""
+        return self.began + (shown - self.began) / self.rate
+
 
 @dataclass(frozen=True)
 class Told:
@@ -78,9 +87,11 @@
         make: Callable[[Own, Bounds, int, float], Machine] = Machine,
         links: Links | None = None,
         start_ms: float = 1000.0,
+        drift: float = 0.0,
     ) -> None:
+        """``drift``: by what part of it a clock may run fast or slow, drawn for each process."""
         self.bounds, self.draw, self.make = bounds or Bounds(), random.Random(seed), make
-        self.links = links or Links()
+        self.links, self.drift = links or Links(), drift
         self.now, self._order = 0.0, 0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self.lives: dict[str, Life] = {}
@@ -120,7 +131,8 @@
             self.seeds,
         )
         machine = self.make(own, self.bounds, self.draw.getrandbits(32), self.now)
-        self.lives[name] = Life(name, own.zone, index, machine, self.now)
+        rate = 1.0 + (self.draw.uniform(-self.drift, self.drift) if self.drift else 0.0)
+        self.lives[name] = Life(name, own.zone, index, machine, self.now, rate)
         self._versions[name] = -1
         self._before[name] = {}
         self._wake(self.lives[name])
@@ -136,7 +148,7 @@
         """End a process in good order."""
         life = self.lives.get(name)
         if life is not None:
-            self._do(life, life.machine.leave(self.now))
+            self._do(life, life.machine.leave(life.clock(self.now)))
             self.kill(name)
 
     def pause(self, name: str, length: float, forgets: bool = False) -> None:
@@ -165,7 +177,7 @@
         found = []
         for name, life in self.lives.items():
             want = sorted((n, other.machine.life) for n, other in self.lives.items() if n != name)
-            have = sorted(life.machine.view(self.now).agrees())
+            have = sorted(life.machine.view(life.clock(self.now)).agrees())
             if want != have:
                 missing = [n for n, _ in want if n not in dict(have)]
                 extra = [n for n, _ in have if n not in dict(want)]
@@ -195,13 +207,13 @@
         return f"at-{name}"
 
     def _wake(self, life: Life) -> None:
-        self.at(max(life.machine.due, self.now + 0.01), lambda: self._turn(life))
+        self.at(max(life.when(life.machine.due), self.now + 0.01), lambda: self._turn(life))
 
     def _turn(self, life: Life) -> None:
         if self.lives.get(life.name) is not life or self.now < life.paused_until:
             return
         happened, life.waiting = life.waiting, []
-        self._do(life, life.machine.handle(self.now, happened))
+        self._do(life, life.machine.handle(life.clock(self.now), happened))
         if not happened:
             self._wake(life)
 
@@ -212,7 +224,7 @@
             if not life.forgets or isinstance(what, events.Exchanged):
                 life.waiting.append(what)
             return
-        self._do(life, life.machine.handle(self.now, [what]))
+        self._do(life, life.machine.handle(life.clock(self.now), [what]))
 
     def _do(self, life: Life, actions: Iterable[events.Action]) -> None:
         for action in actions:
@@ -224,7 +236,7 @@
                 self.notes.append((self.now, life.name, action))
             elif isinstance(action, events.Leave):
                 self.kill(life.name)
-        view = life.machine.view(self.now)
+        view = life.machine.view(life.clock(self.now))
         if view.version != self._versions.get(life.name):
             self._versions[life.name] = view.version
             before = self._before[life.name]
@@ -278,7 +290,9 @@
             if not there or other is None or self.now < other.paused_until:
                 self.at(self.now + self.bounds.timeout, lambda: ended(None))
                 return
-            told = other.machine.handle(self.now, [events.Arrived(message, self._address(life.name), True)])
+            told = other.machine.handle(
+                other.clock(self.now), [events.Arrived(message, self._address(life.name), True)]
+            )
             replies = [action.message for action in told if isinstance(action, events.Reply)]
             self._do(other, told)
             for reply in replies[:1]:
