A list service names seeds of the fleet (`fleet, list`), and no source drives out another

Found beside it: a change of peers in service dropped the seeds that had been kept on the disk (`Node.expect` made the list anew from settings and peers alone), and all gateways tried their first seed in the same instant, since the time of the next try was set to now.

Change: nodes/seeds.py follows a list in the form of the node list; what is ready there is a seed, beside settings', peers' and kept ones. Where the service fails, what it said last counts, and it is asked again by the usual back-off. A changed list is tried when seeds are tried anyway, a changed setting within the first gap, spread; who is alone tries soon.

Measured: on sockets two gateways meet by a list that fails at first and names one of them later, a third is named in service, the service goes down and all stay; a gateway that serves follows the list of its settings. The test of seeds beside each other fails with the old `expect`. tests/test_fleet_node.py three times, test_language.py: all pass.

--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -14,6 +14,7 @@
 
 import anyio
 import pytest
+import rig as rigs
 from click.testing import CliRunner
 
 from winchdyke.admin import keys
@@ -23,6 +24,9 @@
 from winchdyke.fleet import disk, wire
 from winchdyke.fleet.names import AGAIN_MS, FRESH_MS, MOST, Names
 from winchdyke.fleet.node import FleetError, Node
+from winchdyke.nodes.seeds import Seeds
+from winchdyke.standins.nodelist import ListService
+from winchdyke.standins.record import Record
 
 BASE = Path(__file__).resolve().parent.parent / "winchdyke" / "config" / "defaults.conf"
 
@@ -91,6 +95,85 @@
     anyio.run(play)
 
 
+def test_gateways_that_a_list_service_names_find_each_other_also_where_it_fails_first_and_later_for_good(
+    tmp_path,
+):
+    """One is named while two is alone; then three is, in service; then the service is down and the fleet stays."""
+
+    async def play() -> None:
+        async with anyio.create_task_group() as group:
+            service = ListService(Record())
+            await service.start(group)
+            service.failing = "error"
+            nodes = [Node(config(tmp_path, name), clock) for name in ("one", "two", "three")]
+            one, two, three = nodes
+            async with running(one, two):
+                for node in (one, two):
+                    group.start_soon(follows(node, service).run)
+                await until(lambda: service.refused >= 2)
+                assert states(one) == states(two) == {} and two.standing()["alone"]
+                service.failing = ""
+                await service.set(shown(one), "ready", 0, "")
+                await until(lambda: states(one) == {"two": "alive"} and states(two) == {"one": "alive"})
+                async with running(three):
+                    third = follows(three, service)
+                    group.start_soon(third.run)
+                    await until(lambda: states(three) == {"one": "alive", "two": "alive"})
+                    await service.set(shown(one), "draining", 0, "")
+                    await service.set(shown(three), "ready", 0, "")
+                    await until(lambda: two.machine.seeds == three.machine.seeds == (shown(three),))
+                    service.kill()
+                    await until(lambda: third._failures >= 1)
+                    assert three.machine.seeds == (shown(three),), "what was said last goes on counting"
+                    await until(lambda: states(two) == {"one": "alive", "three": "alive"})
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
+def test_a_gateway_that_serves_follows_the_list_of_its_settings(tmp_path):
+    async def play() -> None:
+        async with anyio.create_task_group() as group:
+            service = ListService(Record())
+            await service.start(group)
+            where = ("127.0.0.1", service.port, "/gateways")
+            serving = replace(rigs.settings(), fleet=config(tmp_path, "-", list=where).fleet)
+            one = Node(config(tmp_path, "one"), clock)
+            async with running(one), rigs.rig(serving) as it:
+                assert it.gateway.fleet is not None
+                await service.set(shown(one), "ready", 0, "")
+                await until(lambda: states(it.gateway.fleet) == {"one": "alive"})
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+
+
+def test_seeds_of_settings_peers_disk_and_list_stand_beside_each_other_and_none_drives_out_another(tmp_path):
+    async def play() -> None:
+        disk.save(tmp_path / "keep", disk.Kept("one", 1, [disk.Known("two", "10.0.0.2:1")]))
+        seeds, peer = (Listen("10.0.0.3", 1),), ("four", Listen("10.0.0.4", 1))
+        one = Node(config(tmp_path, "one", seeds=seeds, keep=str(tmp_path / "keep"), peers=(peer,)), clock)
+        await one.open()
+        given = ["10.0.0.3:1", "10.0.0.4:1", "10.0.0.2:1"]
+        assert list(one.machine.seeds) == given
+        one.listed(("10.0.0.5:1", "10.0.0.3:1"))
+        assert list(one.machine.seeds) == [*given, "10.0.0.5:1"]
+        one.expect(replace(one.config, peers=()))
+        assert list(one.machine.seeds) == ["10.0.0.3:1", "10.0.0.2:1", "10.0.0.5:1"] and one.machine.at == {}
+        await one.close()
+
+    anyio.run(play)
+
+
+def follows(node: Node, service: ListService) -> Seeds:
+    where = ("127.0.0.1", service.port, "/gateways")
+    return Seeds(where, node.config.nodes, node.config.gateway.name, clock, node.listed)
+
+
+def shown(node: Node) -> str:
+    return f"{node.address[0]}:{node.address[1]}"
+
+
 class Sends:
     """A socket that keeps which hosts were sent to."""
 
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -94,6 +94,7 @@
     listen: Listen | None = None
     advertise: str = ""
     seeds: tuple[Listen, ...] = ()
+    list: tuple[str, int, str] | None = None
     keys: str = ""
     keep: str = ""
     interval: float = 1000.0
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -155,6 +155,11 @@
                 NONE,
                 "Gateways that are asked for the others; several. Names are looked up at every try.",
             ),
+            "list": Key(
+                t.Url(),
+                NONE,
+                "A list service that names gateways by their addresses here (docs/node-list.md); they are seeds too.",
+            ),
             "keys": Key(
                 t.Type(),
                 '""',
--- a/winchdyke/fleet/members/machine.py
+++ b/winchdyke/fleet/members/machine.py
@@ -113,10 +113,15 @@
         self._note("left")
         return self._told
 
-    def expect(self, seeds: tuple[str, ...], at: dict[str, str]) -> None:
-        """Other seeds and addresses, as the settings have them now."""
+    def expect(self, seeds: tuple[str, ...], at: dict[str, str], soon: bool = True) -> None:
+        """Other seeds and addresses; tried ``soon``, or as seeds are tried anyway. Who is alone always tries soon.
+
+        Soon is spread over the first gap: all gateways hear of a changed list, or of an instant of the settings, at one time.
+        """
         self.seeds, self.at = seeds, dict(at)
-        self._seed_at, self._seed_gap = self.now, self.bounds.retry
+        if soon or not self.book.there():
+            self._seed_gap = self.bounds.retry
+            self._seed_at = min(self._seed_at, self.now + self.random.random() * self._seed_gap)
 
     def view(self, now: float) -> View:
         """The snapshot; the same object until something changes."""
--- a/winchdyke/fleet/node.py
+++ b/winchdyke/fleet/node.py
@@ -66,6 +66,8 @@
         self._streams = anyio.Semaphore(STREAMS)
         self._group: TaskGroup | None = None
         self._names = Names()
+        self._kept: tuple[str, ...] = ()  # seeds from the disk
+        self._named: tuple[str, ...] = ()  # and from a list service
         self._dropped_at = 0.0
         self.over = False  # a later process has this name
         self.address = ("", 0)
@@ -116,7 +118,6 @@
         if not 0 <= gateway.index <= 65535:
             raise FleetError(f"gateway, index is {gateway.index}: other gateways take 0 to 65535")
         life = int(time.time() * 1000) << 16
-        seeds = [_shown(where) for where in (*fleet.seeds, *(address for _, address in self.config.peers))]
         if fleet.keep:
             kept, wrong = disk.load(Path(fleet.keep))
             if wrong:
@@ -124,7 +125,7 @@
             if kept is not None:
                 if kept.own == gateway.name:
                     life = max(life, (kept.life // m.STEP + 1) * m.STEP)
-                seeds += [each.address for each in kept.members if each.name != gateway.name]
+                self._kept = tuple(each.address for each in kept.members if each.name != gateway.name)
         own = events.Own(
             name=gateway.name,
             address=fleet.advertise or _shown(self.address),
@@ -132,8 +133,8 @@
             index=gateway.index,
             life=life | (hash((self.address, time.monotonic_ns())) & (m.STEP - 1)),
             gateways=gateway.gateways,
-            seeds=tuple(dict.fromkeys(seeds)),
-            at=tuple((name, _shown(address)) for name, address in self.config.peers),
+            seeds=self._seeds(),
+            at=tuple(self._at().items()),
         )
         bounds = Bounds(
             interval=fleet.interval, timeout=fleet.timeout, exchange=fleet.exchange, forget=fleet.forget,
@@ -181,10 +182,23 @@
         """Other peers from now on; who is there already stays so until it goes."""
         if self.machine is not None and config.peers != self.config.peers:
             self.config = config
-            at = {name: _shown(address) for name, address in config.peers}
-            self.machine.expect(tuple(dict.fromkeys([*map(_shown, self.fleet.seeds), *at.values()])), at)
+            self.machine.expect(self._seeds(), self._at())
             self._wake.set()
 
+    def listed(self, addresses: tuple[str, ...]) -> None:
+        """Gateways that a list service names: seeds too, from now on."""
+        self._named = addresses
+        if self.machine is not None:
+            self.machine.expect(self._seeds(), self._at(), soon=False)
+            self._wake.set()
+
+    def _at(self) -> dict[str, str]:
+        return {name: _shown(address) for name, address in self.config.peers}
+
+    def _seeds(self) -> tuple[str, ...]:
+        given = [*map(_shown, self.fleet.seeds), *self._at().values()]
+        return tuple(dict.fromkeys([*given, *self._kept, *self._named]))
+
     def leave(self) -> None:
         """Say goodbye; nothing is done after it."""
         if self.machine is not None and self._udp is not None:
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -36,6 +36,7 @@
 from winchdyke.nodes.belief import Bounds as Belief
 from winchdyke.nodes.belief import Word
 from winchdyke.nodes.membership import Membership
+from winchdyke.nodes.seeds import Seeds
 from winchdyke.nodes.sources import FileSource, HttpSource, Source, SrvSource
 from winchdyke.objects import answers, storewire
 from winchdyke.s3.service import S3
@@ -242,6 +243,10 @@
                 group.start_soon(self.writeback.run, self.engine.held)
             if self.fleet is not None:
                 group.start_soon(self.fleet.run)
+                if (where := self.config.fleet.list) is not None:
+                    name = self.config.gateway.name
+                    seeds = Seeds(where, self.config.nodes, name, self.engine.clock, self.fleet.listed)
+                    group.start_soon(seeds.run)
             accepting: list[anyio.CancelScope] = []
             for listener, handle in listeners:
                 group.start_soon(self._accept, listener, handle, accepting, group)
--- a/winchdyke/standins/nodelist.py
+++ b/winchdyke/standins/nodelist.py
@@ -22,6 +22,7 @@
         self.record = record
         self.port = 0
         self.failing = ""  # "": well; "error": answers 500; "silence": says nothing; "down": not listening
+        self.refused = 0  # calls answered with an error
         self.late_ms = 0.0
         self.by_index = False
         self._old: tuple[int, list[dict[str, Any]]] | None = None
@@ -81,6 +82,7 @@
         if self.failing == "silence":
             await anyio.sleep_forever()
         if self.failing == "error":
+            self.refused += 1
             await self._say(peer, 500, b"")
             return
         since = query.get("since", "")
