A member that hears nothing has not slept: where intervals are short it judged nobody

Cause: `Machine.handle` told `Sleep` at the beginning of a turn when the next one is due, which was now where a probe was due; the turn sent the probe, the next came after the look of 100 ms, and with an interval under 0.4 s (the least pause is a quarter of it, 50 ms at least) that counted as sleep: its probes were dropped, its health fell. At the usual interval of 1 s 250 ms are the least, and nothing was wrong.

Change: the time is told at the end of the turn.

Measured: a test turns a machine at the very times it asks for, at intervals of 50, 200 and 1,000 ms: without the mend two of three slept.

--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -162,6 +162,23 @@
     assert dead_for(fleet, since) <= length
 
 
+@pytest.mark.parametrize("interval", [50.0, 200.0, 1000.0])
+def test_who_hears_nothing_and_is_never_late_has_not_slept(interval):
+    """Where intervals are short, a turn with a probe in it was followed by one that seemed late by a whole look."""
+    bounds = Bounds(interval=interval, timeout=0.4 * interval, pause=max(50.0, interval / 4))
+    machine = Machine(Own("a", "at-a", "", 0, 1 << 16), bounds, 1, 0.0)
+    now, noted = 0.0, list[events.Action]()
+    silent = Entry("b", "at-b", "", 1, 1 << 16, 0, int(State.ALIVE))
+    machine.handle(now, [events.Arrived(Envelope("b", 1 << 16, 1, "", int(Kind.ACK), 1, "", -1, [silent]))])
+    while now < 60 * interval:
+        now = machine.due
+        noted += [each for each in machine.handle(now, []) if isinstance(each, events.Note)]
+    assert machine.sleep.times == 0 and machine.sleep.slept == 0.0
+    assert [note.code for note in noted if note.code in ("suspect", "dead")] == ["suspect", "dead"]
+    machine.handle(machine.due + bounds.pause, [])
+    assert machine.sleep.times == 1, "and who is late by so much has"
+
+
 def test_all_but_one_stopped_for_5_s():
     fleet = settled(8)
     since = fleet.now
--- a/winchdyke/days/run.py
+++ b/winchdyke/days/run.py
@@ -31,6 +31,7 @@
 WARM_UP_S = 0.3
 DRAIN_NOTICE_S = 2.2  # between a deploy's drain and the end of the process
 AFTER_S = 0.2
+PROGRAM = ("-m", "winchdyke")  # what the gateways' interpreter runs; benchmarks put mutants in its place
 INSTANT_S = 3.5  # from when a change is asked for to the instant that it is staged for
 
 
@@ -41,8 +42,15 @@
 class Fleet:
     """The gateways, stores and list service of a day while it is played."""
 
-    def __init__(self, day: script.Day, where: Path, group: TaskGroup, more: str = "") -> None:
-        self.day, self.where, self.group, self.more = day, where, group, more
+    def __init__(
+        self,
+        day: script.Day,
+        where: Path,
+        group: TaskGroup,
+        more: str = "",
+        program: tuple[str, ...] = PROGRAM,
+    ) -> None:
+        self.day, self.where, self.group, self.more, self.program = day, where, group, more, program
         self.record = Record()
         self.list = ListService(self.record)
         self.meter, self.racks = Meter(), [Rack(), Rack()]
@@ -124,7 +132,7 @@
         more = self.more.replace("{name}", f"gateway-{index}") + self._fleet_settings(index)
         settings.write_text(script.settings(self.day, index, self.list.port, str(port_file), more))
         with (self.where / f"gateway-{index}.log").open("ab") as log:
-            command = [sys.executable, "-m", "winchdyke", "serve", "-c", str(settings)]
+            command = [sys.executable, *self.program, "serve", "-c", str(settings)]
             process = await anyio.open_process(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         self.processes[index] = process
         until = clock() + START_S * 1000
@@ -353,12 +361,14 @@
         others = [name for name in self.names if name not in some]
         if not some:
             pairs = links.between(self.names, self.names, both=False)
+        elif how == "apart":
+            pairs = links.between(some[:1], some[1:])
         elif how in ("deaf", "mute"):
             pairs = links.between(*((others, some) if how == "deaf" else (some, others)), both=False)
         else:
             pairs = links.between(some, others)
         fault = {
-            "cut": Fault(cut=True), "deaf": Fault(cut=True), "mute": Fault(cut=True), "loss": Fault(loss=size),
+            **dict.fromkeys(("cut", "apart", "deaf", "mute"), Fault(cut=True)), "loss": Fault(loss=size),
             "burst": Fault(loss=size, burst=8.0), "copies": Fault(copies=size), "delay": Fault(delay=size, jitter=size),
             "tail": Fault(delay=2.0, tail=size), "large": Fault(large=int(size)), "no-udp": Fault(datagrams=False),
             "no-tcp": Fault(streams=False),
@@ -406,10 +416,12 @@
         await self.start_gateway(index)
 
 
-async def play(day: script.Day, where: Path, more: str = "") -> tuple[list[Seen], list[int]]:
+async def play(
+    day: script.Day, where: Path, more: str = "", program: tuple[str, ...] = PROGRAM
+) -> tuple[list[Seen], list[int]]:
     """Play a day: what was seen, and how the gateways ended. Logs and settings stay in ``where``."""
     async with anyio.create_task_group() as group:
-        fleet = Fleet(day, where, group, more)
+        fleet = Fleet(day, where, group, more, program)
         try:
             await fleet.start()
             draw = random.Random(f"{day.name}/{day.seed}/troubles")
@@ -439,7 +451,7 @@
 
 
 def run_day(
-    day: script.Day, keep: Path | None = None, more: str = ""
+    day: script.Day, keep: Path | None = None, more: str = "", program: tuple[str, ...] = PROGRAM
 ) -> tuple[Verdict, list[Seen], list[int]]:
     """Play a day in a folder of its own and judge it. DayError where it could not be played.
 
@@ -449,7 +461,7 @@
     where = keep or Path(tempfile.mkdtemp(prefix="winchdyke-day-"))
     where.mkdir(parents=True, exist_ok=True)
     try:
-        seen, ends = anyio.run(play, day, where, more)
+        seen, ends = anyio.run(play, day, where, more, program)
     except BaseExceptionGroup as group:
         failed, rest = group.split(DayError)
         if failed is None or rest is not None:
--- a/winchdyke/days/script.py
+++ b/winchdyke/days/script.py
@@ -21,7 +21,8 @@
     """A trouble: from when, how long (ms), on which stores, gateways or volumes, and how hard.
 
     ``link``: all links between the gateways ``on`` and the others (among all where none are named) have the fault ``how``, one of
-    cut, deaf (what comes to them alone), mute (what goes from them alone), loss, burst, copies, delay, tail, large, no-udp, no-tcp.
+    cut, apart (the links between the first of ``on`` and the rest of them alone), deaf (what comes to them alone), mute (what goes
+    from them alone), loss, burst, copies, delay, tail, large, no-udp, no-tcp.
     """
 
     kind: Trouble
--- a/winchdyke/fleet/members/health.py
+++ b/winchdyke/fleet/members/health.py
@@ -31,9 +31,17 @@
         self.slept = 0.0  # ms in all
         self.times = 0
 
-    def look(self, now: float, due: float) -> float:
-        """Called at each turn with when the next one is due at the latest; ms overslept, 0 where that is no sleep."""
-        late, self._due = now - self._due, due
+    def expect(self, due: float) -> None:
+        """At the end of a turn: when the next one comes at the latest.
+
+        Guards against a turn's own work taken for sleep: told at the beginning, a probe that was due then and went since
+        left the next turn as late as the whole look is long, and a process that heard nothing slept by its own word.
+        """
+        self._due = due
+
+    def look(self, now: float) -> float:
+        """At the beginning of a turn: ms overslept, 0 where that is no sleep."""
+        late = now - self._due
         if late < self.least:
             return 0.0
         self.slept += late
--- a/winchdyke/fleet/members/machine.py
+++ b/winchdyke/fleet/members/machine.py
@@ -83,7 +83,7 @@
     def handle(self, now: float, happened: list[Arrived | Exchanged]) -> list[Action]:
         """Take in what has happened, and time; what is to be done. After :meth:`leave` nothing more is done."""
         self.now, self._told = now, []
-        late = self.sleep.look(now, max(now, min(self.due, now + LOOK_MS)))
+        late = self.sleep.look(now)
         if late:
             self._woke(late)
         if not self.left:
@@ -93,6 +93,7 @@
                 else:
                     self._exchanged(what)
             self._time()
+        self.sleep.expect(max(now, self.due))
         return self._told
 
     @property
