What a cold node proves counts over the rule's own window, at the node's present power

A line at each refusal: 1,556 were held for a cold node that had nothing out from that gateway, at a median age of 10 s, with a usual part of 0.2 units a second and nothing proved for three in four. Two causes in `bears` and `learn`: the half-life of what was proved (5 s) lags behind a node that warms in 9 to 18 s; and "in good time" was measured at the pace of a warm node, which a cold one can't keep with nothing wrong.

Change: the half-life is the rule's own window, and PROOF_MS is gone; good time is twice the normal latency over the part of its power that the node has by now.

--- a/winchdyke/policy.py
+++ b/winchdyke/policy.py
@@ -34,9 +34,6 @@
 SWEEP_MS = 25.0  # between looks at what only time changes: well under any aim
 WATCH_RETRY_MS, WATCH_MAX_MS = 500.0, 8000.0  # after a failed list call, doubling: one service serves all
 RATE_MS, FLOW_MS = 1500.0, 15000.0  # half-lives: near the second that plans count in; of a shard's flow
-PROOF_MS = (
-    5000.0  # half-life of what a cold node has served; also the age at which a gateway has seen its shards
-)
 
 
 class Window:
@@ -184,22 +181,27 @@
         self.born, self.credit, self.credit_at, self.lost, self.phase = born, 0.0, now, None, phase
         self.proved = 0.0
 
-    def prove(self, now: float, units: float) -> None:
-        self.proved = self.proved * 0.5 ** ((now - self.proved_at) / PROOF_MS) + units
-        self.proved_at = now
+    def able(self, cfg: api.Settings, now: float) -> float:
+        """The part of its power that it has by now, at the least."""
+        grown = (1 - cfg.cold_from) * max(0.0, now - self.born) / max(1.0, cfg.warm_after_ms)
+        return min(1.0, cfg.cold_from + grown)
+
+    def prove(self, cfg: api.Settings, now: float, units: float) -> None:
+        fade: float = 0.5 ** ((now - self.proved_at) / max(1.0, cfg.fall_window_ms))  # longer, it lags
+        self.proved, self.proved_at = self.proved * fade + units, now
 
     def bears(self, cfg: api.Settings, now: float, units: float, flow: float, sharers: float) -> bool:
         """Whether a node may be sent so much: a cold one has this gateway's part of the rule's units."""
-        age = max(0.0, now - self.born)
-        if not cfg.fall_window_ms or age >= cfg.warm_after_ms:
+        able = self.able(cfg, now)
+        if not cfg.fall_window_ms or able >= 1:
             return True
-        able = cfg.cold_from + (1 - cfg.cold_from) * age / cfg.warm_after_ms
         # Guards against power that stands idle long after it is back: an even part of the stated units is
         # next to nothing where few of many gateways use the node. What each was served there adds up to no
         # more than its shard could do, and what the node itself served in good time to no more than it can
         # do now. It hurts where the successor is less than half as strong.
-        proved: float = self.proved * 0.5 ** ((now - self.proved_at) / PROOF_MS) * 0.693 * 1000 / PROOF_MS
-        learnt = COLD_PART * cfg.fall_multiple * max(able * flow, proved) * cfg.fall_window_ms / 1000
+        self.prove(cfg, now, 0.0)
+        shown = max(able * flow * cfg.fall_window_ms / 1000, 0.693 * self.proved)
+        learnt = COLD_PART * cfg.fall_multiple * shown
         even = able * cfg.cold_units / sharers / cfg.cold_from
         part = max(even, learnt)
         grown = max(even * (1 - COLD_BURST), learnt) * (now - self.credit_at) / cfg.fall_window_ms
@@ -232,9 +234,7 @@
         self.codels = dict[str, CoDel]()
         self.volumes = dict[str, Volume]()  # that were asked for here
         self.bare: float | None = -1e18  # since when it has no ready node
-        self.units = self.span = self.at = (
-            0.0  # served to this gateway by warm nodes, and in what time; fading
-        )
+        self.units = self.span = self.at = 0.0  # served here by warm nodes, and in what time; fading
 
     def served(self, now: float, units: float, warm: bool) -> None:
         if warm and self.at:
@@ -430,8 +430,8 @@
             node.window.sample(event.latency_ms, self.cost[kind.name] * units)
             calm = [NODE_PART * k.aim_ms / self.cost[k.name] / self.cfg.mean_units for k in self.cfg.classes]
             node.window.step(self.now, min(calm))
-            if not late and node.window.short <= SURE * min(calm):
-                node.prove(self.now, units)
+            if not late and node.window.short <= SURE * min(calm) / node.able(self.cfg, self.now):
+                node.prove(self.cfg, self.now, units)
             lower = event.latency_ms / units < self.cost[kind.name]
             self.cost[kind.name] *= 1 + COST_GAIN * (COST_QUANTILE - lower)
         elif outcome is Outcome.SHED:
