--- a/benchmarks/fleet_mutants.py
+++ b/benchmarks/fleet_mutants.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -152,6 +152,10 @@
         return Told(members.kept, why, members.tried[0], suspected, waking)
 
 
+def _played(job: tuple[str, bool, int, int]) -> Told:
+    return play(*job)
+
+
 def _notes(log: Path, offset: float) -> list[tuple[float, dict[str, Any]]]:
     found = []
     for line in log.read_bytes().splitlines():
@@ -184,8 +188,8 @@
     chosen = words.parse_args()
     names = chosen.names or list(MUTANTS)
     jobs = [(name, out, chosen.seed, chosen.gateways) for name in names for out in (False, True)]
-    with ThreadPoolExecutor(chosen.jobs) as pool:
-        for (name, out, *_), told in zip(jobs, pool.map(lambda job: play(*job), jobs), strict=True):
+    with ProcessPoolExecutor(chosen.jobs) as pool:
+        for (name, out, *_), told in zip(jobs, pool.map(_played, jobs), strict=True):
             print(f"{name:13}{'taken out' if out else 'as it is':10} {told}", flush=True)
 
 
--- a/tests/test_fleet_day.py
+++ b/tests/test_fleet_day.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
+import resource
 import socket
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
+import h11
 import msgspec
 import pytest
 from host import measured
@@ -17,6 +21,7 @@
 from winchdyke.days.run import run_day
 from winchdyke.standins.links import Fault, Links
 from winchdyke.standins.record import Record
+from winchdyke.standins.wire import Peer
 
 
 @measured
@@ -152,6 +157,27 @@
         found += 1
 
 
+def test_stand_ins_look_at_connections_past_the_descriptors_that_select_takes():
+    """Five days of eight gateways in one process: a client's look at an idle connection ended the day."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(limits[0], 2048), limits[1]))
+    one, other = socket.socketpair()
+    high = socket.socket(fileno=fcntl.fcntl(one, fcntl.F_DUPFD, 1100))
+    try:
+        peer = Peer(SimpleNamespace(extra=lambda _: high), h11.CLIENT)  # type: ignore[arg-type]
+        assert peer.quiet()
+        other.send(b"x")
+        assert not peer.quiet()
+        high.recv(1)
+        assert peer.quiet()
+        other.close()
+        assert not peer.quiet()
+    finally:
+        for each in (one, other, high):
+            each.close()
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
 def test_the_same_seed_draws_the_same_day():
     one, other = (msgspec.json.encode(script.fleet_day(7, gateways=8)) for _ in range(2))
     assert one == other != msgspec.json.encode(script.fleet_day(8, gateways=8))
--- a/winchdyke/standins/wire.py
+++ b/winchdyke/standins/wire.py
@@ -44,7 +44,9 @@
 
     def quiet(self) -> bool:
         """Whether an idle connection is still open, with nothing said on it."""
-        return not select.select([self.stream.extra(SocketAttribute.raw_socket)], [], [], 0)[0]
+        look = select.poll()  # select() takes no descriptor past 1,023, and a fleet's day has them
+        look.register(self.stream.extra(SocketAttribute.raw_socket), select.POLLIN)
+        return not look.poll(0)
 
     async def reset(self) -> None:
         """Break the connection with a TCP reset."""
