A whole history that is read while it is moved out misses nothing

Cause: the archives were read first and the trail after them; what the gateway moved out between the two was in neither. Ruled out: a loss (the chain and the archives verify, the next reading has all).

Change: `Trail.whole` reads the trail first and then the archives before its first entry, so that what goes meanwhile is met twice and told once; the desk and the tests use it.

--- a/tests/test_change_cases.py
+++ b/tests/test_change_cases.py
@@ -383,7 +383,7 @@
                     assert (await it.ask("GET", "/school-1/k")).status in (404, 503)
             await it.until(lambda: ("applied", last) in steps_of(it) or ("refused", last) in steps_of(it))
             trail = it.gateway.live.trail
-            log = [*trail.archived(), *trail.entries()]
+            log = trail.whole()
             ends = {e.version for e in log if e.what in ("applied", "refused", "withdrawn")}
             assert {e.version for e in log if e.what == "staged"} <= ends
             assert len({e.version for e in log if e.what == "proposed"}) >= count
@@ -412,7 +412,7 @@
     assert trail.verify(archives=True) == [], "a move that was cut short has left more there than went"
     archive.write_text(left)
     assert trail.standing() == stood and trail.version(30).text == "text 30"
-    assert [*trail.archived(), *trail.entries()][: len(before)] == before
+    assert trail.whole()[: len(before)] == before
     with pytest.raises(TrailError, match="archives"):
         trail.version(3)
     for number in range(31, 50):
@@ -782,6 +782,37 @@
         read({"op": "show"})
 
 
+def test_the_whole_history_is_read_while_it_is_moved_out(tmp_path):
+    """Archives first and then the trail: entries that were moved between the two were in neither."""
+
+    class Moved(Trail):
+        """History is moved out behind the first reading, whichever that is."""
+
+        moved = False
+
+        def move(self) -> None:
+            if not self.moved:
+                self.moved = True
+                trail_there.prune(3)
+
+        def after(self, seq):
+            found = super().after(seq)
+            self.move()
+            return found
+
+        def archived(self):
+            found = list(super().archived())
+            self.move()
+            return iter(found)
+
+    trail_there = trail_of(tmp_path, 12)
+    before = trail_there.entries()
+    reader = Moved(tmp_path)
+    assert reader.whole() == before and reader.moved
+    assert len(trail_there.entries()) < len(before), "some did go"
+    assert reader.whole()[: len(before)] == before
+
+
 def test_a_trail_that_is_read_while_its_history_is_moved_out_is_read_as_it_was_at_one_moment(tmp_path):
     """The reader took where it stood before the move and the entries after it: a start or an editor failed on that."""
     trail, reader, stop = trail_of(tmp_path, 6), Trail(tmp_path), []
--- a/winchdyke/changes/desk.py
+++ b/winchdyke/changes/desk.py
@@ -180,9 +180,7 @@
         return found
 
     def _log(self, operation: Log) -> dict[str, Any]:
-        entries = list(self.trail.archived()) if operation.archives else []
-        last = entries[-1].seq if entries else 0
-        entries += self.trail.after(max(last, operation.after))
+        entries = self.trail.whole() if operation.archives else self.trail.after(operation.after)
         return {"entries": [_told(entry) for entry in entries if entry.seq > operation.after]}
 
     def _blame(self, operation: Blame) -> dict[str, Any]:
--- a/winchdyke/changes/trail.py
+++ b/winchdyke/changes/trail.py
@@ -13,6 +13,7 @@
 import dataclasses
 import hashlib
 import json
+import math
 import os
 import sqlite3
 import time
@@ -366,6 +367,16 @@
                 except (ValueError, TypeError) as error:
                     raise TrailError(f"{path}, line {number}: not an entry of a trail: {error}") from error
 
+    def whole(self) -> list[Entry]:
+        """All entries, those in the archives too, the oldest first, also while some are moved out. TrailError as above.
+
+        Guards against a move between two readings, which hid all that it moved: what is here is read first, so that
+        what goes meanwhile is met twice and not never.
+        """
+        here = self.entries()
+        first = here[0].seq if here else math.inf
+        return [*(entry for entry in self.archived() if entry.seq < first), *here]
+
     def verify(self, archives: bool = False) -> list[str]:
         """What does not fit in the chain, in words; nothing where all does. ``archives``: those count as well."""
         said = self._unfit_archives() if archives else []
