Whether a key changes in service is asked in one place

Need: read once more, `swap.fixed` and `edit.edited` each had the same question of LIVE and LIVE_KEYS, one of them turned round.

Change: `swap.lives` answers it for both. Nothing else moves.

--- a/winchdyke/changes/edit.py
+++ b/winchdyke/changes/edit.py
@@ -5,7 +5,7 @@
 import difflib
 from collections.abc import Iterable
 
-from winchdyke.changes.swap import LIVE, LIVE_KEYS, merged
+from winchdyke.changes.swap import LIVE, LIVE_KEYS, lives, merged
 from winchdyke.config.diagnostics import Source, Span
 from winchdyke.config.loading import Values
 from winchdyke.config.meaning import Change, apply, table
@@ -42,7 +42,7 @@
         key = key.strip()
         if not given or key not in known:
             raise EditError(f"{text!r} is no KEY=VALUE of a {kind}; the keys are {', '.join(known)}")
-        if kind not in LIVE and key not in LIVE_KEYS[kind]:
+        if not lives(kind, key):
             can = ", ".join(sorted(LIVE_KEYS[kind]))
             raise EditError(f"{key} of a {kind} can't change in service; what can is {can}")
         span = Span(Source("the command line", text), 1)
--- a/winchdyke/changes/swap.py
+++ b/winchdyke/changes/swap.py
@@ -20,12 +20,17 @@
 LIVE_KEYS = {"fleet": frozenset({"seeds"})}  # single keys of blocks that need a start otherwise
 
 
+def lives(kind: str, key: str) -> bool:
+    """Whether a key of a kind of block may change in service."""
+    return kind in LIVE or key in LIVE_KEYS.get(kind, ())
+
+
 def fixed(changes: list[Change]) -> list[str]:
     """What can't change in service, in words: it needs a start."""
     return [
         f"{change.kind} {change.name} {change.key}".replace("  ", " ").strip()
         for change in changes
-        if change.kind not in LIVE and change.key not in LIVE_KEYS.get(change.kind, ())
+        if not lives(change.kind, change.key)
     ]
 
 
