--- a/review/2/case.py
+++ b/review/2/case.py
@@ -101,9 +101,7 @@
         await asyncio.wait(tasks, timeout=40)
         record.write(f"usual requests answered: {usual.answered}, the slowest after {usual.worst_ms:.0f} ms")
         record.write(f"never answered, or more than {LATE_MS:.0f} ms after their time: {usual.lost}")
-        record.write(
-            f"longest time in which the gateway did not sleep: {usual.longest_busy_s:.1f} s"
-        )
+        record.write(f"longest time in which the gateway did not sleep: {usual.longest_busy_s:.1f} s")
         record.write(f"this process itself ran at most {usual.own_lag_ms:.0f} ms late")
         if usual.own_lag_ms > MAX_OWN_LAG_MS:
             return rig.NOT_RUN
