Let each case of the review name the record that it writes

Cause: record.txt was written by the shared stand-ins alone, so that a case's own files did not show it.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,8 @@
 
 import rig  # noqa: E402
 
+RECORD = HERE / "record.txt"  # what was sent, answered and run
+
 MEMORY_MB = 80
 SOCKETS = 512
 BAD_CLIENTS = 240
@@ -109,4 +111,4 @@
 
 
 if __name__ == "__main__":
-    rig.play(HERE, play)
+    rig.play(RECORD, play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,6 +11,8 @@
 
 import rig  # noqa: E402
 
+RECORD = HERE / "record.txt"  # what was sent, answered and run
+
 BAD_CLIENTS = 300
 CHUNK_BYTES = 1 if rig.trouble() else 16_000
 BAD_SECONDS = 70
@@ -114,4 +116,4 @@
 
 
 if __name__ == "__main__":
-    rig.play(HERE, play)
+    rig.play(RECORD, play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,6 +11,8 @@
 
 import rig  # noqa: E402
 
+RECORD = HERE / "record.txt"  # what was sent, answered and run
+
 CELLS = 8
 SPOILT = 0.05 if rig.trouble() else 0.0
 CLIENTS = 24
@@ -123,4 +125,4 @@
 
 
 if __name__ == "__main__":
-    rig.play(HERE, play)
+    rig.play(RECORD, play)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -144,11 +144,11 @@
 
 
 class Record:
-    """The lines of ``record.txt``: what was sent, answered and run, with the time in milliseconds."""
+    """The lines of a case's ``record.txt``: what was sent, answered and run, with the time in milliseconds."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.started_at = time.monotonic()
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8")
 
     @property
     def now_ms(self) -> float:
@@ -435,9 +435,9 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def play(folder: Path, case: Callable[[Record], Awaitable[int]]) -> None:
-    """Run a case and end with its verdict: 0 held, 1 broken, 2 could not run."""
-    record = Record(folder)
+def play(record_path: Path, case: Callable[[Record], Awaitable[int]]) -> None:
+    """Run a case, write its record, and end with its verdict: 0 held, 1 broken, 2 could not run."""
+    record = Record(record_path)
     try:
         verdict = asyncio.run(asyncio.wait_for(case(record), 110))
     except Exception as error:  # noqa: BLE001 - whatever goes wrong in the test itself is no verdict on the gateway
