Bound the memory that all clients and stores together may take

Seen by callers: a gateway with 80 MB was killed, with all requests that it had taken, when 240 clients sent a long head and most of a body and stopped.

Cause: what is held for a peer was limited for each connection and not in sum. Parsed heads were kept until their request was answered, and only bodies beyond 64 KiB were counted; requests sent ahead, responses that are not read, and bodies of clients that have left were not counted either.

Change: two accounts (requests, responses) for all that is held. A client is read only while there is room; then the oldest incomplete request gets a 503, and an eighth is left to clients of which nothing was read. Chunked framing that outweighs its payload is rejected before it adds up. The reading of requests is a module of its own.

Why it works: reading stops at the account, whatever the number of clients and the form of what they send.

--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -15,6 +15,7 @@
 
 # From the lowest layer to the highest: a package imports its own layer's or lower ones.
 LAYERS = (
+    {"peer_limits"},
     {"interface", "placement", "http1", "durable_files"},
     {"scheduling", "config", "settings"},
     {"config_rollout", "discovery", "quotas", "latency_attribution", "writeback", "object_api", "auth"},
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -145,6 +145,7 @@
     max_descriptors: int = 256,
     make_discovery: Callable[[list[asyncio.StreamWriter]], Awaitable[asyncio.Server]] | None = None,
     known: dict[str, Any] | None = None,
+    memory_mb: int = 64,
 ) -> AsyncIterator[Harness]:
     store, watches = Store(respond), list[asyncio.StreamWriter]()
     await store.start()
@@ -163,7 +164,7 @@
         listen=f"127.0.0.1:{port}",
         discovery=f"127.0.0.1:{port_of(discovery_server)}",
         known=known or {"version": 1, "full": True, "servers": [entry] if listed else []},
-        limits={"cores": 1, "memory_mb": 64, "sockets": max_descriptors},
+        limits={"cores": 1, "memory_mb": memory_mb, "sockets": max_descriptors},
     )
     os.environ["NODE_CONFIG"] = variables["NODE_CONFIG"]
     gateway = PlatformGateway(configuration.read_environment(variables), asyncio.get_running_loop())
--- a/winchdyke/gateway/outcomes.py
+++ b/winchdyke/gateway/outcomes.py
@@ -62,6 +62,7 @@
     "engine-silent": "the scheduler did not decide in time; the gateway answered in its place",
     "client-gone": "the client disconnected before its response",
     "body-cut": "the client's body ended early or is not as long as declared",
+    "body-framing": "the chunked framing or the trailers of the client's body outweigh what they frame",
     "body-slow": "the client's body did not arrive in time",
     "body-store-full": "no capacity is left for bodies that may have to be sent again",
     "key-in-use": "a request with the same Idempotency-Key is in progress at this gateway",
--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from winchdyke.peer_limits.message_gate import FramingLimitError, MessageGate
+
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 Headers = list[tuple[bytes, bytes]]
 Bytes = bytes | bytearray  # a piece of a body, in the type in which the parser returns it
@@ -80,6 +82,102 @@
     return int(next(iter(given))) if given else None
 
 
+_Event = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+class _Receiver:
+    """The receiving side of a connection: gives the parser no more than :class:`MessageGate` lets pass.
+
+    Raises FramingLimitError and h11.RemoteProtocolError.
+    """
+
+    def __init__(self, parser: h11.Connection, max_head_bytes: int) -> None:
+        self.gate = MessageGate(max_head_bytes)
+        self._parser = parser
+        self._chunked = False
+        self._body_bytes_left: int | None = (
+            None  # bytes of a body with a length that the parser was not given yet
+        )
+        self._parser_is_empty = True  # it can't continue without more bytes
+        self._closed = False
+        self._parser_knows_close = False
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of received bytes that are buffered, here and by the parser."""
+        return self.gate.waiting_bytes + len(self._parser.trailing_data[0])
+
+    def feed(self, data: bytes) -> None:
+        """Add received bytes; empty if the peer has closed."""
+        if data:
+            self.gate.feed(data)
+        else:
+            self._closed = True
+
+    def next_event(self) -> _Event:
+        """Return the parser's next event."""
+        state = self._parser.their_state
+        if state is h11.SEND_BODY:
+            return self._next_body_event()
+        if state in (h11.IDLE, h11.SEND_RESPONSE):
+            return self._next_head_event()
+        return self._parser.next_event()
+
+    def _next_head_event(self) -> _Event:
+        head = self.gate.take_head(self._parser.trailing_data[0])
+        if head is None and not self._closed:
+            return h11.NEED_DATA
+        self._pass(self.gate.take_all() if head is None else head)
+        event = self._parser.next_event()
+        if isinstance(event, (h11.Request, h11.Response)):
+            self._start_body(event)
+        return event
+
+    def _start_body(self, head: h11.Request | h11.Response) -> None:
+        headers = list(head.headers)
+        self._chunked = any(name == b"transfer-encoding" for name, _ in headers)
+        self._body_bytes_left = None if self._chunked else _content_length(headers)
+        if self._body_bytes_left is None and isinstance(head, h11.Request):
+            self._body_bytes_left = 0
+        self._parser_is_empty = False
+        self.gate.start_body()
+
+    def _next_body_event(self) -> _Event:
+        while True:
+            event = h11.NEED_DATA if self._parser_is_empty else self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                self._count(event)
+                return event
+            self._parser_is_empty = True
+            piece = self._next_piece()
+            if not piece and (not self._closed or self._parser_knows_close):
+                return h11.NEED_DATA
+            self._pass(piece)
+            self._parser_is_empty = False
+
+    def _next_piece(self) -> bytes:
+        if self._chunked:
+            return self.gate.take_chunked(self._parser.trailing_data[0])
+        if self._body_bytes_left is None:
+            return self.gate.take_all()
+        piece = self.gate.take_body(self._body_bytes_left)
+        self._body_bytes_left -= len(piece)
+        return piece
+
+    def _count(self, event: _Event) -> None:
+        if isinstance(event, h11.Data):
+            self.gate.count_payload(len(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.gate.count_trailers(len(list(event.headers)))
+
+    def _pass(self, data: bytes) -> None:
+        if data:
+            self._parser.receive_data(data)
+        if self._closed and not self._parser_knows_close and not self.gate.waiting_bytes:
+            self._parser_knows_close = True
+            self._parser.receive_data(b"")
+
+
 class ServerCodec:
     """The server's side of one connection: parses requests and serializes responses.
 
@@ -88,32 +186,40 @@
 
     def __init__(self, header_bytes: int) -> None:
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
-        self._header_bytes = header_bytes
+        self._receiver = _Receiver(self._h11, header_bytes)
 
     def feed(self, data: bytes) -> None:
-        """Add received bytes to the buffer."""
-        self._h11.receive_data(data)
+        """Add received bytes to the buffer; empty if the client has closed."""
+        self._receiver.feed(data)
+
+    def discard_input(self) -> None:
+        """Drop the received bytes that were not parsed yet; no further request can be read."""
+        self._receiver.gate.clear()
+
+    @property
+    def work_units(self) -> int:
+        """The parser's work so far, in units of about one header line."""
+        return self._receiver.gate.work_units
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of received bytes that were not parsed yet."""
+        return self._receiver.buffered_bytes
 
     def head(self) -> RequestHead | NeedData | None:
         """Return the next request's head, or None if the client has closed between requests."""
         try:
-            event = self._h11.next_event()
+            event = self._receiver.next_event()
+        except FramingLimitError as error:
+            raise ProtocolError(431, "head-too-large", str(error)) from error
         except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            reason = "head-too-large" if status == 431 else "bad-http"
-            raise ProtocolError(status, reason, str(error)) from error
+            raise ProtocolError(error.error_status_hint, "bad-http", str(error)) from error
         if isinstance(event, h11.ConnectionClosed):
             return None
         if not isinstance(event, h11.Request):
             return NEED_DATA
         headers = list(event.headers)
         names = [name for name, _ in headers]
-        # The parser limits only incomplete heads; a head that arrived in one piece is checked here.
-        if (
-            len(event.target) + sum(len(name) + len(value) + 4 for name, value in headers)
-            > self._header_bytes
-        ):
-            raise ProtocolError(431, "head-too-large", f"the head is larger than {self._header_bytes} bytes")
         if b"transfer-encoding" in names and b"content-length" in names:
             raise ProtocolError(
                 400, "conflicting-length", "Transfer-Encoding and Content-Length are both given"
@@ -122,7 +228,7 @@
             raise ProtocolError(400, "bad-http", "more than one Host header")
         length = None if b"transfer-encoding" in names else _content_length(headers) or 0
         if length == 0:
-            self._h11.next_event()  # consumes the end of the empty body
+            self._receiver.next_event()  # consumes the end of the empty body
         return RequestHead(event.method.decode("ascii"), event.target, headers, length)
 
     def body(self) -> Bytes | NeedData | EndOfBody:
@@ -132,7 +238,9 @@
             # head. Without this check the caller would wait for data that never arrives.
             return END_OF_BODY
         try:
-            event = self._h11.next_event()
+            event = self._receiver.next_event()
+        except FramingLimitError as error:
+            raise ProtocolError(400, "body-framing", str(error)) from error
         except h11.RemoteProtocolError as error:
             raise ProtocolError(400, "body-cut", str(error)) from error
         if isinstance(event, h11.Data):
@@ -195,7 +303,7 @@
     @property
     def has_buffered_data(self) -> bool:
         """Whether bytes of the next request are in the buffer."""
-        return bool(self._h11.trailing_data[0])
+        return bool(self._receiver.buffered_bytes)
 
     def next_cycle(self) -> None:
         """Prepare for the next request on this connection."""
@@ -210,6 +318,7 @@
 
     def __init__(self, header_bytes: int) -> None:
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
+        self._receiver = _Receiver(self._h11, header_bytes)
 
     def request(self, method: str, target: bytes, headers: Headers) -> bytes:
         """Serialize a request's head."""
@@ -225,13 +334,23 @@
 
     def feed(self, data: bytes) -> None:
         """Add received bytes to the buffer; empty if the server has closed."""
-        self._h11.receive_data(data)
+        self._receiver.feed(data)
+
+    @property
+    def work_units(self) -> int:
+        """The parser's work so far, in units of about one header line."""
+        return self._receiver.gate.work_units
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of received bytes that were not parsed yet."""
+        return self._receiver.buffered_bytes
 
     def head(self) -> ResponseHead | NeedData:
         """Return the response's head. Informational responses are skipped."""
         try:
             while True:
-                event = self._h11.next_event()
+                event = self._receiver.next_event()
                 if isinstance(event, h11.Response):
                     headers = list(event.headers)
                     chunked = any(name == b"transfer-encoding" for name, _ in headers)
@@ -240,13 +359,17 @@
                     )
                 if not isinstance(event, h11.InformationalResponse):
                     return NEED_DATA
+        except FramingLimitError as error:
+            raise ProtocolError(502, "store-framing", str(error)) from error
         except h11.RemoteProtocolError as error:
             raise ProtocolError(502, "store-http", str(error)) from error
 
     def body(self) -> Bytes | NeedData | EndOfBody:
         """Return the next piece of the response's body."""
         try:
-            event = self._h11.next_event()
+            event = self._receiver.next_event()
+        except FramingLimitError as error:
+            raise ProtocolError(502, "store-framing", str(error)) from error
         except h11.RemoteProtocolError as error:
             raise ProtocolError(502, "store-cut", str(error)) from error
         if isinstance(event, h11.Data):
@@ -257,7 +380,7 @@
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
         clean = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        return clean and not self._h11.trailing_data[0]
+        return clean and not self._receiver.buffered_bytes
 
     def next_cycle(self) -> None:
         """Prepare for the next request on this connection."""
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -8,14 +8,16 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
-from winchdyke.http1 import EndOfBody, Headers, NeedData, ProtocolError, RequestHead, ServerCodec
+from winchdyke.http1 import Headers, ProtocolError, ServerCodec
 from winchdyke.object_api import answers
-from winchdyke.platform import protocol, sockets
+from winchdyke.peer_limits.memory_account import MemoryCharge
+from winchdyke.platform import sockets
+from winchdyke.platform.client_request import RequestProgress, RequestReader
 
 if TYPE_CHECKING:
     from winchdyke.platform.client_connections import ClientConnections
 
-MAX_HEAD_BYTES = 16 * 1024
+CONNECTION_OBJECTS_BYTES = 4 * 1024  # the memory of a connection that has received nothing
 # Buffered while a response is pending. Data beyond this limit is discarded and answered with 413.
 MAX_PIPELINED_BYTES = 64 * 1024
 # The limit on data discarded in the LINGERING state, or between two timeout checks while a response is pending.
@@ -51,15 +53,16 @@
     """
 
     __slots__ = (
-        "_body",
-        "_codec",
         "_connections",
         "_discarded_bytes",
-        "_head",
+        "_is_readiness_check",
+        "_payload_bytes",
+        "_payload_charge",
         "_pipeline_overflowed",
         "_pipelined_bytes",
+        "_reader",
         "_reading_paused",
-        "_request",
+        "_request_charge",
         "_unsent",
         "close_after_response",
         "last_received_at_ms",
@@ -79,10 +82,12 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.close_after_response = False
         self.reserved_body_bytes = 0
-        self._codec = ServerCodec(MAX_HEAD_BYTES)
-        self._head: RequestHead | None = None
-        self._request: protocol.ParsedRequest | None = None
-        self._body = bytearray()
+        self._reader = RequestReader(connections.request_parser, self._reserve_body, sock.send)
+        self._request_charge = MemoryCharge(connections.memory.requests)
+        self._request_charge.set(CONNECTION_OBJECTS_BYTES)
+        self._payload_charge = MemoryCharge(connections.memory.responses)
+        self._is_readiness_check = False
+        self._payload_bytes = 0  # of the response that is being written
         self._unsent: memoryview | None = None
         self._pipelined_bytes = 0
         self._pipeline_overflowed = False
@@ -104,14 +109,28 @@
                 # The next request stays unread, so its client can safely send it again on a new connection.
                 self._pause_reading()
             return
+        max_bytes = self._readable_bytes()
+        if not max_bytes:
+            return
         try:
-            data, self.last_received_at_ms = sockets.receive(self.sock)
+            data, self.last_received_at_ms = sockets.receive(self.sock, max_bytes)
         except BlockingIOError:
             return
         except OSError:
             self.close()
             return
         self._on_data(data)
+        self._update_charge()
+
+    def _readable_bytes(self) -> int:
+        """Return how many bytes to read now; 0 if the connection has to wait for memory."""
+        if self.state not in RECEIVING_STATES:
+            return sockets.MAX_RECEIVE_BYTES  # what is not buffered is discarded
+        max_bytes = self._connections.client_memory.readable_bytes(self)
+        if not max_bytes:
+            self._pause_reading()
+            self._connections.client_memory.wait(self)
+        return max_bytes
 
     def _on_data(self, data: bytes) -> None:
         if self.state is ConnectionState.LINGERING:
@@ -123,18 +142,20 @@
         elif self._pipeline_overflowed or self.state in RESPONDING_STATES:
             self._buffer_pipelined(data)
         else:
-            self._codec.feed(data)
+            self._reader.codec.feed(data)
             self._parse_requests()
 
     def _buffer_pipelined(self, data: bytes) -> None:
-        """Buffer data that arrives while a response is pending; discard it beyond ``MAX_PIPELINED_BYTES``.
+        """Buffer data that arrives while a response is pending.
 
+        It is discarded beyond ``MAX_PIPELINED_BYTES``, and if the memory for requests is full.
         Once bytes were discarded, later bytes can't be parsed as requests and are discarded as well. Reading
         continues beyond the limit, so that a disconnect after the discarded bytes is noticed.
         """
         self._pipelined_bytes += len(data)
-        if self._pipelined_bytes <= MAX_PIPELINED_BYTES and not self._pipeline_overflowed:
-            self._codec.feed(data)
+        has_room = len(data) <= self._connections.memory.requests.available_bytes
+        if has_room and self._pipelined_bytes <= MAX_PIPELINED_BYTES and not self._pipeline_overflowed:
+            self._reader.codec.feed(data)
             return
         self._pipeline_overflowed = True
         self._discarded_bytes += len(data)
@@ -151,6 +172,7 @@
         """Resume reading after a pause; does nothing if reading is not paused."""
         if self._reading_paused:
             self._reading_paused = False
+            self._connections.client_memory.forget(self)
             self._discarded_bytes = 0
             self._connections.loop.add_reader(self.sock.fileno(), self.on_readable)
 
@@ -166,7 +188,7 @@
     def process_pending(self) -> None:
         """Parse buffered data if there is any, else read data that is waiting in the socket."""
         if self.state is ConnectionState.IDLE and (
-            self._codec.has_buffered_data or self._pipeline_overflowed
+            self._reader.codec.has_buffered_data or self._pipeline_overflowed
         ):
             self._parse_requests()
         elif not sockets.has_nothing_to_read(self.sock):
@@ -178,51 +200,26 @@
         if self.state not in RECEIVING_STATES:
             return
         try:
-            complete = self._read_request()
+            progress = self._reader.read()
+            self._on_progress(progress)
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
-            return
         except OSError:
             self.close()
-            return
-        if complete:
-            self._dispatch_request()
+        self._update_charge()
 
-    def _read_request(self) -> bool:
-        """Parse the received data; return whether a request for the scheduler is complete."""
-        if self._head is None and not self._read_head():
-            return False
-        return self._read_body()
-
-    def _read_head(self) -> bool:
-        head = self._codec.head()
-        if isinstance(head, NeedData):
-            self._wait_for_more()
-            return False
-        if head is None:
+    def _on_progress(self, progress: RequestProgress) -> None:
+        if progress is RequestProgress.COMPLETE:
+            self._dispatch_request()
+        elif progress is RequestProgress.READINESS_CHECK:
+            self._respond_ready()
+        elif progress is RequestProgress.CLOSED:
             self.close()
-            return False
-        if head.target == protocol.READY_PATH and head.method == "GET":
-            self._respond_ready(head)
-            return False
-        self._request = self._connections.request_parser.parse(head)
-        self._head = head
-        self._connections.reserve_body(self, head.length or 0)
-        if head.length != 0 and self._codec.waiting_for_continue:
-            self.sock.send(self._codec.continue_response())
-        return True
-
-    def _read_body(self) -> bool:
-        while not self._codec.body_done:
-            piece = self._codec.body()
-            if isinstance(piece, NeedData):
-                self._wait_for_more()
-                return False
-            if isinstance(piece, EndOfBody):
-                break
-            self._body += piece
-            self._connections.reserve_body(self, len(self._body))
-        return True
+        else:
+            self._wait_for_more()
+
+    def _reserve_body(self, length_bytes: int) -> None:
+        self._connections.reserve_body(self, length_bytes)
 
     def _dispatch_request(self) -> None:
         """Pass a complete request on unless its client has disconnected.
@@ -232,16 +229,9 @@
         if not self.is_still_connected():
             self._connections.counts["disconnected_before_dispatch"] += 1
             return
-        request = self._request
-        assert request is not None
-        self._request = None
-        request.body = bytes(self._body)
-        self._body.clear()
+        request = self._reader.take_request()
         self.move_to(ConnectionState.AWAITING_RESPONSE)
-        try:
-            self._connections.accept_request(self, request, self.last_received_at_ms)
-        except ProtocolError as error:
-            self.reject(error.status, error.reason, str(error))
+        self._connections.accept_request(self, request, self.last_received_at_ms)
 
     def _wait_for_more(self) -> None:
         if self._pipeline_overflowed:
@@ -251,12 +241,12 @@
         if self.state is ConnectionState.IDLE:
             self.move_to(ConnectionState.READING_REQUEST)
 
-    def _respond_ready(self, head: RequestHead) -> None:
+    def _respond_ready(self) -> None:
         """Answer a readiness check and close the connection.
 
         Readiness checks don't reuse connections, and many may arrive at the same time.
         """
-        self._head = head
+        self._is_readiness_check = True
         self.close_after_response = True
         self.move_to(ConnectionState.AWAITING_RESPONSE)
         self.respond(200, [(b"content-length", b"%d" % len(READY_BODY))], READY_BODY)
@@ -267,6 +257,7 @@
         """Respond with an error, then linger so that the client can read it before the connection closes."""
         self._connections.counts[reason] += 1
         self.on_disconnect = None
+        self._reader.discard()
         try:
             self._send_error(status, reason, text)
             self.sock.shutdown(socket.SHUT_WR)
@@ -275,6 +266,7 @@
             return
         self.move_to(ConnectionState.LINGERING)
         self.resume_reading()
+        self._update_charge()
 
     def _send_error(self, status: int, reason: str, text: str) -> None:
         error = answers.error(status, "refused", reason, "-", text)
@@ -288,10 +280,12 @@
         self.close_after_response = self.close_after_response or self._connections.close_after_response
         if self.close_after_response:
             headers = [*headers, (b"connection", b"close")]
-        codec = self._codec
+        codec = self._reader.codec
         payload = codec.response_head(status, headers) + (codec.data(body) if body else b"") + codec.end()
         self.move_to(ConnectionState.WRITING_RESPONSE)
+        self._payload_bytes = len(payload)
         self._write(memoryview(payload))
+        self._update_charge()
 
     def _write(self, unsent: memoryview) -> None:
         try:
@@ -314,14 +308,15 @@
     def _on_writable(self) -> None:
         if self._unsent is not None:
             self._write(self._unsent)
+            self._update_charge()
 
     def _on_response_written(self) -> None:
-        if self.close_after_response or not self._codec.reusable:
+        codec = self._reader.codec
+        if self.close_after_response or not codec.reusable:
             self._half_close()
             return
-        has_more = self._codec.has_buffered_data or self._pipeline_overflowed
-        self._codec.next_cycle()
-        self._head = None
+        has_more = codec.has_buffered_data or self._pipeline_overflowed
+        codec.next_cycle()
         self._pipelined_bytes = 0
         self.move_to(ConnectionState.IDLE)
         self._connections.on_connection_idle()
@@ -340,7 +335,7 @@
         Closing a socket that holds unread bytes resets the connection, and the client may lose the response
         that is still on its way. Unread bytes are common, since clients send requests on any open connection.
         """
-        if self._head is not None and self._head.target == protocol.READY_PATH:
+        if self._is_readiness_check:
             self.close()
             return
         try:
@@ -348,8 +343,10 @@
         except OSError:
             self.close()
             return
+        self._reader.discard()
         self.move_to(ConnectionState.HALF_CLOSED)
         self.resume_reading()
+        self._update_charge()
         self.on_readable()
 
     def on_timeout(self) -> None:
@@ -372,7 +369,23 @@
         """Whether part of a request was received; closing without a response would lose that request."""
         if self.state is ConnectionState.READING_REQUEST:
             return True
-        return self.state is ConnectionState.NEW and self.last_received_at_ms > 0
+        waits_for_memory = self._connections.client_memory.is_waiting(self)
+        return self.state is ConnectionState.NEW and (self.last_received_at_ms > 0 or waits_for_memory)
+
+    @property
+    def holds_request_data(self) -> bool:
+        """Whether memory is held for a request that was received in part."""
+        return self._request_charge.held_bytes > CONNECTION_OBJECTS_BYTES
+
+    def _update_charge(self) -> None:
+        """Charge what the connection holds to the accounts of the gateway's memory."""
+        closed = self.state is ConnectionState.CLOSED
+        before_bytes = self._request_charge.held_bytes
+        self._request_charge.set(0 if closed else CONNECTION_OBJECTS_BYTES + self._reader.memory_bytes)
+        # The payload is kept as a whole until its last byte is written.
+        self._payload_charge.set(0 if closed or self._unsent is None else self._payload_bytes)
+        if self._request_charge.held_bytes < before_bytes:
+            self._connections.client_memory.on_released()
 
     def close(self) -> None:
         """Close immediately, and call ``on_disconnect`` if a response is pending."""
@@ -382,7 +395,11 @@
         self.on_disconnect = None
         self._connections.loop.remove_reader(self.sock.fileno())
         self._connections.loop.remove_writer(self.sock.fileno())
+        self._connections.client_memory.forget(self)
         self.move_to(ConnectionState.CLOSED)
         self.sock.close()
+        self._reader.discard()
+        self._unsent = None
+        self._update_charge()
         if on_disconnect is not None:
             on_disconnect()
--- a/winchdyke/platform/client_connections.py
+++ b/winchdyke/platform/client_connections.py
@@ -5,10 +5,15 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from winchdyke.http1 import ProtocolError
 from winchdyke.platform import protocol
 from winchdyke.platform.client_connection import ClientConnection, ConnectionState
+from winchdyke.platform.peer_memory import PeerMemory
+
+if TYPE_CHECKING:
+    from winchdyke.platform.client_memory import ClientMemory
 
 AcceptRequest = Callable[[ClientConnection, protocol.ParsedRequest, float], None]
 BODY_STATES = (ConnectionState.AWAITING_RESPONSE, ConnectionState.READING_REQUEST)
@@ -27,6 +32,7 @@
     Attributes:
         accept_request: Called with each complete request and the time at which its last byte arrived. Raises
             ProtocolError if the request can't be accepted.
+        client_memory: Decides which client is read while memory runs out; set by the service.
         on_connection_idle: Hook for the idle eviction.
         on_connection_closed: Hook for the listener.
         counts: Counters, logged with the prefix ``client:``.
@@ -38,14 +44,15 @@
         clock: Callable[[], float],
         request_parser: protocol.RequestParser,
         accept_request: AcceptRequest,
-        max_large_body_bytes: float = 0.0,
+        memory: PeerMemory,
     ) -> None:
         self.loop = loop
         self.clock = clock
         self.request_parser = request_parser
         self.accept_request = accept_request
         self.large_body_bytes = 0  # reserved for bodies larger than protocol.MAX_BODY_BYTES
-        self.max_large_body_bytes = max_large_body_bytes
+        self.max_large_body_bytes: float = memory.large_request_bodies_bytes
+        self.memory = memory
         self.close_after_response = False  # if set, every response carries "Connection: close"
         # Ordered by when a connection entered the state, the oldest first.
         self.by_state: dict[ConnectionState, dict[ClientConnection, None]] = {
@@ -53,6 +60,7 @@
         }
         self.count = 0
         self.counts: Counter[str] = Counter()
+        self.client_memory: ClientMemory
         self.on_connection_idle: Callable[[], None] = lambda: None
         self.on_connection_closed: Callable[[], None] = lambda: None
 
--- a/winchdyke/platform/client_idle_eviction.py
+++ b/winchdyke/platform/client_idle_eviction.py
@@ -90,6 +90,7 @@
         ):
             if state is not ConnectionState.IDLE or not self.idle_limits_suspended:
                 self._close_expired(state, now_ms, timeout_ms)
+        self._connections.client_memory.make_room()
         self._connections.loop.call_later(CHECK_INTERVAL_SECONDS, self._check_timeouts)
 
     def _resume_paused(self) -> None:
--- /dev/null
+++ b/winchdyke/platform/client_memory.py
@@ -0,0 +1,114 @@
+"""Decides which client may be read while the memory for requests runs out, and which one has to go."""
+
+from __future__ import annotations
+
+import structlog
+
+from winchdyke.peer_limits.memory_account import MemoryAccount
+from winchdyke.platform import sockets
+from winchdyke.platform.client_connection import ClientConnection, ConnectionState
+from winchdyke.platform.client_connections import ClientConnections
+
+MIN_READ_BYTES = 4 * 1024  # nothing is read while less is available; holds any usual request without a body
+# Part of the memory that is left to clients of which nothing was read yet, so that small requests never wait.
+FIRST_READ_FRACTION = 1 / 8
+# Clients send a request at once or nearly so; one that is incomplete for longer makes room for others.
+INCOMPLETE_REQUEST_GRACE_MS = 150.0
+WRITING_GRACE_MS = 1000.0  # time for a client to read its response while others need the memory
+LOG_INTERVAL_MS = 10_000.0
+
+
+class ClientMemory:
+    """Backpressure first: a client is read only while memory is available, and waits its turn otherwise.
+
+    While clients wait, the requests that have been incomplete for longest are answered with 503. Complete requests
+    are never dropped for their memory.
+    """
+
+    def __init__(
+        self, connections: ClientConnections, requests: MemoryAccount, responses: MemoryAccount
+    ) -> None:
+        self._connections = connections
+        self._requests = requests
+        self._responses = responses
+        self._waiting: dict[ClientConnection, None] = {}  # in the order in which they began to wait
+        self._logged_at_ms = float("-inf")
+        self._log = structlog.get_logger("gateway")
+
+    def readable_bytes(self, connection: ClientConnection) -> int:
+        """Return how many bytes may be read from a client now; 0 if it has to wait."""
+        available_bytes = self._available_bytes
+        if available_bytes >= MIN_READ_BYTES:
+            return min(sockets.MAX_RECEIVE_BYTES, available_bytes)
+        is_first_read = not connection.holds_request_data
+        return MIN_READ_BYTES if is_first_read and self._requests.available_bytes >= MIN_READ_BYTES else 0
+
+    @property
+    def _available_bytes(self) -> int:
+        """The memory that is available beside the part that is left to first reads."""
+        return self._requests.available_bytes - int(self._requests.limit_bytes * FIRST_READ_FRACTION)
+
+    def wait(self, connection: ClientConnection) -> None:
+        """Let a client wait until memory is available."""
+        if connection not in self._waiting:
+            self._waiting[connection] = None
+            self._connections.counts["waits_for_memory"] += 1
+            self._log_full()
+            self.make_room()
+
+    def is_waiting(self, connection: ClientConnection) -> bool:
+        """Return whether a client waits for memory."""
+        return connection in self._waiting
+
+    def forget(self, connection: ClientConnection) -> None:
+        """End a client's wait."""
+        self._waiting.pop(connection, None)
+
+    def on_released(self) -> None:
+        """Let the clients that have waited longest be read, as far as memory is available."""
+        available_bytes = self._available_bytes
+        while self._waiting and available_bytes >= MIN_READ_BYTES:
+            available_bytes -= sockets.MAX_RECEIVE_BYTES
+            connection = next(iter(self._waiting))
+            del self._waiting[connection]
+            connection.resume_reading()
+
+    def make_room(self) -> None:
+        """Answer the oldest incomplete requests with 503 until memory is available or none is old enough."""
+        if not self._waiting or self._available_bytes >= MIN_READ_BYTES:
+            self.on_released()
+            return
+        oldest_kept_ms = self._connections.clock() - INCOMPLETE_REQUEST_GRACE_MS
+        by_state = self._connections.by_state
+        incomplete = [*by_state[ConnectionState.NEW], *by_state[ConnectionState.READING_REQUEST]]
+        for connection in sorted(incomplete, key=lambda each: each.state_since_ms):
+            if connection.state_since_ms > oldest_kept_ms or self._available_bytes >= MIN_READ_BYTES:
+                return
+            if connection.holds_request_data:
+                connection.reject(503, "memory-full", "the memory for requests is in use; try again")
+
+    def evict_slow_reader(self) -> bool:
+        """Close the client that has read its response for longest; return whether there was one.
+
+        Called if the memory for responses is full: a client that doesn't read its response must not cost the others theirs.
+        """
+        oldest_kept_ms = self._connections.clock() - WRITING_GRACE_MS
+        for connection in self._connections.by_state[ConnectionState.WRITING_RESPONSE]:
+            if connection.state_since_ms > oldest_kept_ms:
+                break
+            self._connections.counts["evicted_while_writing"] += 1
+            connection.close()
+            return True
+        return False
+
+    def _log_full(self) -> None:
+        now_ms = self._connections.clock()
+        if now_ms - self._logged_at_ms >= LOG_INTERVAL_MS:
+            self._logged_at_ms = now_ms
+            self._log.warning(
+                "request_memory_full",
+                used_bytes=self._requests.used_bytes,
+                limit_bytes=self._requests.limit_bytes,
+                connections=self._connections.count,
+                reason="clients wait to be read; the oldest incomplete requests are rejected",
+            )
--- /dev/null
+++ b/winchdyke/platform/client_request.py
@@ -0,0 +1,119 @@
+"""Reads the requests of one client connection out of the received bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum, auto
+
+from winchdyke.http1 import EndOfBody, NeedData, RequestHead, ServerCodec
+from winchdyke.platform import protocol
+
+MAX_HEAD_BYTES = 16 * 1024
+# Memory of a parsed request besides the bytes of its fields and its body: its objects here and in the scheduler.
+REQUEST_OBJECTS_BYTES = 4 * 1024
+
+
+class RequestProgress(Enum):
+    """How far the reader has come."""
+
+    NEEDS_DATA = auto()  # more bytes are needed
+    COMPLETE = auto()  # a request for the scheduler is complete
+    READINESS_CHECK = auto()  # the platform's check whether the gateway is ready
+    CLOSED = auto()  # the client has closed between requests
+
+
+class RequestReader:
+    """The parser of one connection and the request that it has received in part.
+
+    Args:
+        request_parser: Validates the head of a request.
+        reserve_body: Called with the length of a body, when it is known and as it grows. Raises ProtocolError.
+        send_continue: Called with a ``100 Continue`` response for a client that waits for it.
+    """
+
+    __slots__ = ("_body", "_request", "_request_parser", "_reserve_body", "_send_continue", "codec")
+
+    def __init__(
+        self,
+        request_parser: protocol.RequestParser,
+        reserve_body: Callable[[int], None],
+        send_continue: Callable[[bytes], object],
+    ) -> None:
+        self.codec = ServerCodec(MAX_HEAD_BYTES)
+        self._request_parser = request_parser
+        self._reserve_body = reserve_body
+        self._send_continue = send_continue
+        self._request: protocol.ParsedRequest | None = None
+        self._body = bytearray()
+
+    @property
+    def memory_bytes(self) -> int:
+        """The memory held for received bytes and for the request that is being read."""
+        held_bytes = self.codec.buffered_bytes + len(self._body)
+        if self._request is not None:
+            held_bytes += request_memory_bytes(self._request)
+        return held_bytes
+
+    def read(self) -> RequestProgress:
+        """Parse the received bytes until a request is complete.
+
+        Raises ProtocolError if the request is invalid or exceeds a limit.
+        """
+        if self._request is None:
+            progress = self._read_head()
+            if progress is not None:
+                return progress
+        return self._read_body()
+
+    def _read_head(self) -> RequestProgress | None:
+        """Return None once a request has begun whose body may follow."""
+        head = self.codec.head()
+        if isinstance(head, NeedData):
+            return RequestProgress.NEEDS_DATA
+        if head is None:
+            return RequestProgress.CLOSED
+        if _is_readiness_check(head):
+            return RequestProgress.READINESS_CHECK
+        # Only the few fields of the parsed request are kept: a parsed head takes many times its bytes.
+        self._request = self._request_parser.parse(head)
+        self._reserve_body(head.length or 0)
+        if head.length != 0 and self.codec.waiting_for_continue:
+            self._send_continue(self.codec.continue_response())
+        return None
+
+    def _read_body(self) -> RequestProgress:
+        codec = self.codec
+        while not codec.body_done:
+            piece = codec.body()
+            if isinstance(piece, NeedData):
+                return RequestProgress.NEEDS_DATA
+            if isinstance(piece, EndOfBody):
+                break
+            self._body += piece
+            self._reserve_body(len(self._body))
+        return RequestProgress.COMPLETE
+
+    def take_request(self) -> protocol.ParsedRequest:
+        """Return the complete request, and keep nothing of it."""
+        request = self._request
+        assert request is not None
+        request.body = bytes(self._body)
+        self._request = None
+        self._body = bytearray()
+        return request
+
+    def discard(self) -> None:
+        """Drop the received bytes and the request that was received in part; no other one can be read."""
+        self.codec.discard_input()
+        self._request = None
+        self._body = bytearray()
+
+
+def request_memory_bytes(request: protocol.ParsedRequest) -> int:
+    """Return the memory that a parsed request takes, with its body."""
+    fields_bytes = sum(len(name) + len(value) for name, value in request.headers)
+    return REQUEST_OBJECTS_BYTES + len(request.target) + fields_bytes + len(request.body)
+
+
+def _is_readiness_check(head: RequestHead) -> bool:
+    return head.target == protocol.READY_PATH and head.method == "GET"
--- a/winchdyke/platform/maintenance.py
+++ b/winchdyke/platform/maintenance.py
@@ -64,6 +64,8 @@
             client_connections=self._clients.count,
             open_requests=self._clients.awaiting_count,
             store_connections=len(self._upstream_pool.connections),
+            request_memory_bytes=self._clients.memory.requests.used_bytes,
+            response_memory_bytes=self._clients.memory.responses.used_bytes,
             worst_lag_ms=round(self._worst_lag_seconds * 1000, 1),
             cpu_s=round(usage.ru_utime + usage.ru_stime, 2),
             memory_mb=memory_mb(),
--- a/winchdyke/platform/request_forwarding.py
+++ b/winchdyke/platform/request_forwarding.py
@@ -12,7 +12,9 @@
 from winchdyke.http1 import Headers, ProtocolError
 from winchdyke.interface import AttemptOutcome
 from winchdyke.object_api import answers
+from winchdyke.peer_limits.memory_account import MemoryAccount, MemoryCharge
 from winchdyke.platform.client_connection import ClientConnection
+from winchdyke.platform.client_request import request_memory_bytes
 from winchdyke.platform.endpoint_directory import EndpointDirectory
 from winchdyke.platform.protocol import AttemptResult, ParsedRequest
 from winchdyke.platform.upstream_attempt import UpstreamAttempt
@@ -24,7 +26,7 @@
 class ForwardedRequest(RequestHandle):
     """An accepted request with its client connection and the outcome of its last attempt."""
 
-    __slots__ = ("client", "disconnected_at_ms", "forwarder", "last_outcome", "request")
+    __slots__ = ("client", "disconnected_at_ms", "forwarder", "last_outcome", "memory_charge", "request")
 
     def __init__(
         self,
@@ -39,6 +41,13 @@
         self.request = request
         self.last_outcome: AttemptOutcome | None = None
         self.disconnected_at_ms = float("inf")
+        self.memory_charge = MemoryCharge(forwarder.memory)
+        self.memory_charge.set(request_memory_bytes(request))
+
+    def release_memory(self) -> None:
+        """Release the memory of the request once neither its client nor an attempt needs it."""
+        if self.finished and not self.attempts_in_flight:
+            self.memory_charge.set(0)
 
     def deliver(self, action: RequestAction) -> None:
         """Carry out an action of the scheduler, or of the scheduler loop on its behalf, immediately."""
@@ -46,7 +55,10 @@
 
 
 class RequestForwarder:
-    """Submits requests to the scheduler loop and carries out the resulting actions. ``counts`` is logged."""
+    """Submits requests to the scheduler loop and carries out the resulting actions.
+
+    ``memory`` is the account to which open requests are charged; ``counts`` is logged.
+    """
 
     def __init__(
         self,
@@ -54,7 +66,9 @@
         upstream_pool: UpstreamPool,
         endpoints: EndpointDirectory,
         clock: Callable[[], float],
+        memory: MemoryAccount,
     ) -> None:
+        self.memory = memory
         self._scheduler_loop = scheduler_loop
         self._upstream_pool = upstream_pool
         self._endpoints = endpoints
@@ -94,6 +108,7 @@
         self.counts["clients_disconnected_before_attempt"] += not forwarded.attempts_started
         forwarded.disconnected_at_ms = self._clock()
         self._scheduler_loop.client_disconnected(forwarded)
+        forwarded.release_memory()
 
     def _start_attempt(self, forwarded: ForwardedRequest, action: api.StartAttempt) -> None:
         number = forwarded.attempts_started
@@ -160,6 +175,7 @@
                 load_report=result.load_report,
             ),
         )
+        forwarded.release_memory()
         if served:
             headers: Headers = [(b"content-length", b"%d" % len(body))]
             forwarded.client.respond(200, headers, body)
@@ -174,4 +190,5 @@
         retry_after_ms = action.retry_after_ms if isinstance(action, api.ShedRequest) else 0.0
         if retry_after_ms > 0:
             headers.append((b"retry-after", b"%.3f" % (retry_after_ms / 1000)))
+        forwarded.release_memory()
         forwarded.client.respond(status, headers, body)
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -17,20 +17,20 @@
 from winchdyke.platform.client_connections import ClientConnections
 from winchdyke.platform.client_idle_eviction import IdleEviction
 from winchdyke.platform.client_listener import LISTEN_BACKLOG, ClientListener
+from winchdyke.platform.client_memory import ClientMemory
 from winchdyke.platform.discovery_client import DiscoveryClient
 from winchdyke.platform.discovery_protocol import EndpointListError, EndpointListing, parse_endpoint_list
 from winchdyke.platform.endpoint_directory import EndpointDirectory
 from winchdyke.platform.maintenance import Maintenance, memory_mb
+from winchdyke.platform.peer_memory import PeerMemory
 from winchdyke.platform.request_forwarding import RequestForwarder
 from winchdyke.platform.shutdown_sequence import ShutdownSequence
 from winchdyke.platform.upstream_pool import UpstreamPool
+from winchdyke.platform.upstream_response import ResponseMemory
 
 RESERVED_DESCRIPTORS = 24  # used by the standard streams, the event loop, the listener and discovery
 MIN_SHARED_DESCRIPTORS = 32
 CLIENT_DESCRIPTOR_FRACTION = 0.7  # clients' fraction of the shared descriptors; stores get the others
-# Some clients exceed the protocol's body limit of 64 KiB. These fractions of the machine's memory limit them.
-MAX_BODY_MEMORY_FRACTION = 1 / 256  # limit for one request body
-LARGE_BODIES_MEMORY_FRACTION = 1 / 16  # limit for all request bodies that exceed the protocol's limit
 DEFAULT_CONNECT_TIMEOUT_MS = 1000.0
 # The platform regards a gateway as notified of everything that discovery's agent knows as soon as the gateway's
 # process starts. The agent responds at once, so the gateway waits for its first response before it serves any
@@ -60,14 +60,18 @@
         self.scheduler_loop.on_event_posted = self._schedule_turn
         descriptors = max(MIN_SHARED_DESCRIPTORS, environment.limits.max_descriptors - RESERVED_DESCRIPTORS)
         max_clients = int(descriptors * CLIENT_DESCRIPTOR_FRACTION)
+        self.memory = PeerMemory.of_machine(environment.limits.memory_mb)
         self.upstream_pool = self._make_upstream_pool(descriptors - max_clients)
         self.endpoints = EndpointDirectory(self.scheduler_loop, self.upstream_pool, self.clock)
-        self.forwarder = RequestForwarder(self.scheduler_loop, self.upstream_pool, self.endpoints, self.clock)
+        self.forwarder = RequestForwarder(
+            self.scheduler_loop, self.upstream_pool, self.endpoints, self.clock, self.memory.requests
+        )
         cached = self._read_cached_list()
         self.endpoints.apply(cached, EndpointListKind.CACHED)
         self.scheduler_loop.process_events()
         listening_socket = sockets.open_listener(environment.listen_address, LISTEN_BACKLOG)
         self.clients = self._make_clients()
+        self.upstream_pool.response_memory.make_room = self.clients.client_memory.evict_slow_reader
         self.idle_eviction = IdleEviction(self.clients)
         self.listener = ClientListener(listening_socket, self.clients, self.idle_eviction, max_clients)
         self.clients.on_connection_idle = self.idle_eviction.trim_idle
@@ -105,20 +109,14 @@
             environment.store_idle_timeout_ms,
             max_connections,
             environment.load_report_fields,
-            environment.limits.memory_mb,
+            ResponseMemory(self.memory.max_response_body_bytes, self.memory.responses),
         )
 
     def _make_clients(self) -> ClientConnections:
-        memory_bytes = self.environment.limits.memory_mb * 2**20
-        max_body_bytes = max(protocol.MAX_BODY_BYTES, int(memory_bytes * MAX_BODY_MEMORY_FRACTION))
-        parser = protocol.RequestParser(self.environment.settings, max_body_bytes)
-        return ClientConnections(
-            self.loop,
-            self.clock,
-            parser,
-            self._accept_request,
-            memory_bytes * LARGE_BODIES_MEMORY_FRACTION,
-        )
+        parser = protocol.RequestParser(self.environment.settings, self.memory.max_request_body_bytes)
+        clients = ClientConnections(self.loop, self.clock, parser, self._accept_request, self.memory)
+        clients.client_memory = ClientMemory(clients, self.memory.requests, self.memory.responses)
+        return clients
 
     def _accept_after_first_discovery_response(self) -> None:
         polls = self.environment.settings.polls_endpoint_list
--- a/winchdyke/platform/upstream_attempt.py
+++ b/winchdyke/platform/upstream_attempt.py
@@ -97,7 +97,7 @@
         self.finished = False
         self.body = b""
         self._connection: UpstreamConnection | None = None
-        self._response = ResponseReader(pool.response_memory)
+        self._response = ResponseReader(pool.response_memory, pool.load_report_fields)
         self._deadline = AttemptDeadline(pool.loop)
         self._unsent: memoryview | None = None
         self._last_byte_at_ms = 0.0
@@ -180,10 +180,9 @@
         return len(data) >= sockets.MAX_RECEIVE_BYTES
 
     def _on_response(self) -> None:
-        head = self._response.head
-        assert head is not None
+        result = self._response.result
+        assert result is not None
         self.body = self._response.body
-        result = protocol.parse_response(head, self._pool.load_report_fields)
         if not self._fully_written and result.outcome is not AttemptOutcome.SHED:
             # A store processes a request only after its last byte, which was not written yet. This response
             # must belong to an earlier request.
--- a/winchdyke/platform/upstream_pool.py
+++ b/winchdyke/platform/upstream_pool.py
@@ -36,7 +36,7 @@
         store_idle_timeout_ms: float,
         max_connections: int,
         load_report_fields: tuple[str, ...],
-        memory_mb: float,
+        response_memory: ResponseMemory,
     ) -> None:
         self.loop = loop
         self.clock = clock
@@ -44,7 +44,7 @@
         self.max_idle_ms = store_idle_timeout_ms * REUSE_IDLE_FRACTION
         self.max_connections = max_connections
         self.load_report_fields = load_report_fields
-        self.response_memory = ResponseMemory.of_machine(memory_mb)
+        self.response_memory = response_memory
         self.connections: set[UpstreamConnection] = set()
         self.counts: Counter[str] = Counter()
         self._idle: OrderedDict[UpstreamConnection, None] = OrderedDict()  # longest idle first
--- a/winchdyke/platform/upstream_response.py
+++ b/winchdyke/platform/upstream_response.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
 
-from winchdyke.http1 import ClientCodec, EndOfBody, NeedData, ProtocolError, ResponseHead
+from winchdyke.http1 import ClientCodec, EndOfBody, NeedData, ProtocolError
+from winchdyke.peer_limits.memory_account import MemoryAccount, MemoryCharge
 from winchdyke.platform import protocol
 from winchdyke.platform.upstream_connection import MAX_HEAD_BYTES
 
 MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES  # for informational responses, head and chunk framing together
-MAX_RESPONSE_MEMORY_FRACTION = 1 / 64  # fraction of the machine's memory for one response
-MAX_BUFFERED_MEMORY_FRACTION = 1 / 8  # fraction of the machine's memory for all responses being read
 
 
 class MalformedResponseError(Exception):
@@ -21,41 +20,61 @@
         self.reason = reason
 
 
-@dataclass(slots=True)
 class ResponseMemory:
-    """Counts the bytes of response bodies that all attempts of a gateway buffer, and limits them.
+    """Limits the memory of one response, and of all responses that are being read or written to clients.
 
     A response is read completely before any of it is forwarded. Stores sometimes exceed the protocol's 64
     KiB, so the limits depend on the machine's memory.
+
+    Attributes:
+        max_response_bytes: The limit on the body of one response.
+        account: The memory of all responses.
+        make_room: Called while the account is over its limit; returns whether it released memory of another response.
     """
 
-    max_response_bytes: int
-    max_buffered_bytes: int
-    buffered_bytes: int = 0
+    def __init__(self, max_response_bytes: int, account: MemoryAccount) -> None:
+        self.max_response_bytes = max_response_bytes
+        self.account = account
+        self.make_room: Callable[[], bool] = lambda: False
 
-    @classmethod
-    def of_machine(cls, memory_mb: float) -> ResponseMemory:
-        """Return the limits for a machine with ``memory_mb`` MiB of memory."""
-        memory_bytes = memory_mb * 2**20
-        return cls(
-            max(protocol.MAX_BODY_BYTES, int(memory_bytes * MAX_RESPONSE_MEMORY_FRACTION)),
-            int(memory_bytes * MAX_BUFFERED_MEMORY_FRACTION),
-        )
+    @property
+    def buffered_bytes(self) -> int:
+        """The memory of all responses now."""
+        return self.account.used_bytes
+
+    def is_exceeded(self) -> bool:
+        """Return whether the responses exceed their memory even after room was made."""
+        while self.account.used_bytes > self.account.limit_bytes:
+            if not self.make_room():
+                return True
+        return False
 
 
 class ResponseReader:
     """Parses one response.
 
-    ``close_delimited`` is True if the head gives no length; the body then ends with an orderly close.
+    Attributes:
+        close_delimited: Whether the head gives no length; the body then ends with an orderly close.
+        result: What the head says of the attempt; None until it was read. The head itself is not kept.
     """
 
-    __slots__ = ("_body", "_memory", "_received_bytes", "close_delimited", "head")
-
-    def __init__(self, memory: ResponseMemory) -> None:
+    __slots__ = (
+        "_body",
+        "_charge",
+        "_load_report_fields",
+        "_memory",
+        "_received_bytes",
+        "close_delimited",
+        "result",
+    )
+
+    def __init__(self, memory: ResponseMemory, load_report_fields: tuple[str, ...]) -> None:
         self._memory = memory
+        self._load_report_fields = load_report_fields
+        self._charge = MemoryCharge(memory.account)
         self._body = bytearray()
         self._received_bytes = 0
-        self.head: ResponseHead | None = None
+        self.result: protocol.AttemptResult | None = None
         self.close_delimited = False
 
     @property
@@ -76,16 +95,20 @@
         self._received_bytes += len(data)
         try:
             codec.feed(data)
-            return self._parse(codec)
+            complete = self._parse(codec)
         except ProtocolError as error:
             raise MalformedResponseError("http") from error
+        self._charge.set(codec.buffered_bytes + len(self._body))
+        if not complete and self._memory.is_exceeded():
+            raise MalformedResponseError("too-large")
+        return complete
 
     def release(self) -> None:
-        """Release the memory of the body; must be called exactly once."""
-        self._memory.buffered_bytes -= len(self._body)
+        """Release the memory of the response."""
+        self._charge.set(0)
 
     def _parse(self, codec: ClientCodec) -> bool:
-        if self.head is None and not self._parse_head(codec):
+        if self.result is None and not self._parse_head(codec):
             return False
         while not isinstance(piece := codec.body(), NeedData):
             if isinstance(piece, EndOfBody):
@@ -100,12 +123,10 @@
         self.close_delimited = not protocol.count_framing_headers(head)
         if not self.close_delimited and not protocol.has_valid_framing(head, self._memory.max_response_bytes):
             raise MalformedResponseError("length")
-        self.head = head
+        self.result = protocol.parse_response(head, self._load_report_fields)
         return True
 
     def _append(self, piece: bytes | bytearray) -> None:
-        memory = self._memory
         self._body += piece
-        memory.buffered_bytes += len(piece)
-        if len(self._body) > memory.max_response_bytes or memory.buffered_bytes > memory.max_buffered_bytes:
+        if len(self._body) > self._memory.max_response_bytes:
             raise MalformedResponseError("too-large")
