Ration the work for all clients in a turn of the event loop

Seen by callers: beside 300 clients that send a body in chunks of one byte, requests that a store answers in 40 ms were answered after 14 to 30 s.

Cause: a turn of the event loop calls the handlers of all ready sockets before its timers, and each parsed all that it had read: 10,900 chunks of 11 microseconds each, for each of 300 clients.

Evidence: parsing alone takes 11 microseconds for a chunk, 4 for a header line, whatever their bytes.

Change: a client has 64 units of work at a time, all peers together 1,024 in a turn; who finds them spent is not read until a later turn, in order of arrival. Closing on timeouts shares the budget.

Why it works: neither the number of clients nor the form of what they send changes the work of a turn.

--- /dev/null
+++ b/tests/test_turn_budget.py
@@ -0,0 +1,184 @@
+"""The work for peers in one turn of the event loop: each peer's part, their sum, and who comes next."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+from test_platform_sockets import read_response, start_harness
+
+from winchdyke.http1 import ServerCodec
+from winchdyke.peer_limits.turn_budget import UNITS_PER_TURN, TurnBudget, receive_units
+from winchdyke.platform import client_idle_eviction
+from winchdyke.platform.client_connection import ClientConnection, ConnectionState
+
+# A chunk takes two units; the last peer of a turn may go beyond the budget by its part.
+MAX_CHUNKS_PER_TURN = UNITS_PER_TURN // 2 + 64
+
+
+class FakeLoop:
+    """Runs what was scheduled before a turn, as an event loop does."""
+
+    def __init__(self):
+        self.scheduled = []
+
+    def call_soon(self, callback):
+        self.scheduled.append(callback)
+
+    def run_turn(self):
+        ready, self.scheduled = self.scheduled, []
+        for callback in ready:
+            callback()
+
+
+class TurnCounter:
+    """Counts calls of a method by the turn of the event loop in which they came."""
+
+    def __init__(self, monkeypatch, owner, method):
+        self.calls_in_turn = Counter()
+        self.turn = 0
+        original = getattr(owner, method)
+
+        def counted(instance, *args, **kwargs):
+            self.calls_in_turn[self.turn] += 1
+            return original(instance, *args, **kwargs)
+
+        monkeypatch.setattr(owner, method, counted)
+
+    def start(self):
+        self.turn += 1
+        asyncio.get_running_loop().call_soon(self.start)
+
+    @property
+    def max_calls(self):
+        return max(self.calls_in_turn.values(), default=0)
+
+
+def chunked_write(harness, chunks, chunk=b"1\r\nx\r\n", end=b"0\r\n\r\n"):
+    head = harness.build_request(
+        **{
+            "Req-Kind": "write",
+            "Content-Length": "",
+            "Transfer-Encoding": "chunked",
+            "Req-Deadline-Ms": "9000",
+        }
+    )[:-3]
+    return head.replace(b"Content-Length: \r\n", b"") + chunk * chunks + end
+
+
+def test_work_beyond_the_budget_of_a_turn_waits_in_order_for_later_turns():
+    loop = FakeLoop()
+    budget = TurnBudget(loop.call_soon, units_per_turn=100)
+    done = []
+
+    def work(name):
+        def run():
+            done.append(name)
+            budget.spend(30)
+
+        return run
+
+    budget.spend(100)
+    assert budget.exhausted
+    for name in "abcd":
+        budget.defer(name, work(name))
+        budget.defer(name, work("again"))
+    loop.run_turn()
+    assert done == ["a", "b"], "half of a turn is for deferred work"
+    assert not budget.exhausted
+    budget.cancel("c")
+    loop.run_turn()
+    assert done == ["a", "b", "d"]
+    assert not budget.has_deferred
+
+
+def test_no_turn_is_asked_for_while_peers_do_little():
+    loop = FakeLoop()
+    budget = TurnBudget(loop.call_soon, units_per_turn=100)
+    for _ in range(4):
+        budget.spend(10)
+    assert not loop.scheduled
+
+
+def test_work_that_fails_leaves_the_others_work_deferred():
+    loop = FakeLoop()
+    budget = TurnBudget(loop.call_soon, units_per_turn=100)
+    done = []
+
+    def fail():
+        raise ValueError
+
+    budget.defer("a", fail)
+    budget.defer("b", lambda: done.append("b"))
+    with pytest.raises(ValueError):
+        loop.run_turn()
+    loop.run_turn()
+    assert done == ["b"]
+
+
+def test_reading_costs_more_for_more_bytes():
+    assert 0 < receive_units(0) < receive_units(65_536)
+
+
+def test_clients_that_send_tiny_chunks_share_the_work_of_a_turn(tmp_path, monkeypatch):
+    # Guards against clients with tiny chunks that stop the event loop for seconds: 300 of them did so for 14 to 30 s.
+    counter = TurnCounter(monkeypatch, ServerCodec, "body")
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path) as harness:
+            counter.start()
+            clients = [await harness.connect_client() for _ in range(20)]
+            for number, (_, writer) in enumerate(clients):
+                writer.write(chunked_write(harness, 3_000 if number % 2 else 12_000))
+            assert (await harness.send_request(**{"Req-Deadline-Ms": "9000"}))[0] == 200
+            statuses = [(await read_response(reader))[0] for reader, _ in clients]
+            assert statuses == 10 * [400, 200], (
+                "too much framing is rejected; a body that is only small is served"
+            )
+            assert harness.gateway.clients.counts["body-framing"] == 10
+            for _, writer in clients:
+                writer.close()
+
+    asyncio.run(scenario())
+    assert 0 < counter.max_calls <= MAX_CHUNKS_PER_TURN
+
+
+def test_requests_that_time_out_together_are_rejected_over_several_turns(tmp_path, monkeypatch):
+    # Guards against one turn that writes an error to each of some hundred clients that stopped at the same time.
+    counter = TurnCounter(monkeypatch, ClientConnection, "reject")
+    monkeypatch.setattr(client_idle_eviction, "REQUEST_TIMEOUT_MS", 300.0)
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path, max_descriptors=400) as harness:
+            counter.start()
+            clients = [await harness.connect_client() for _ in range(150)]
+            for _, writer in clients:
+                writer.write(harness.build_request()[:40])
+            for reader, writer in clients:
+                assert (await read_response(reader))[0] == 408
+                writer.close()
+
+    asyncio.run(scenario())
+    assert 1 < counter.max_calls <= 60
+
+
+def test_idle_connection_whose_request_waits_for_a_turn_is_not_closed(tmp_path):
+    # Guards against closing a connection whose request has come and was deferred: its client would lose it.
+    async def scenario() -> None:
+        async with start_harness(tmp_path) as harness:
+            reader, writer = await harness.connect_client()
+            writer.write(harness.build_request())
+            assert (await read_response(reader))[0] == 200
+            budget = harness.gateway.turn_budget
+            budget.spend(UNITS_PER_TURN)
+            writer.write(harness.build_request())
+            (connection,) = harness.gateway.clients.by_state[ConnectionState.IDLE]
+            budget.spend(UNITS_PER_TURN)
+            connection.on_readable()
+            assert connection.is_deferred
+            harness.gateway.idle_eviction.close_idle()
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+
+    asyncio.run(scenario())
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -11,6 +11,7 @@
 from winchdyke.http1 import Headers, ProtocolError, ServerCodec
 from winchdyke.object_api import answers
 from winchdyke.peer_limits.memory_account import MemoryCharge
+from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, receive_units
 from winchdyke.platform import sockets
 from winchdyke.platform.client_request import RequestProgress, RequestReader
 
@@ -23,6 +24,7 @@
 # The limit on data discarded in the LINGERING state, or between two timeout checks while a response is pending.
 MAX_DISCARDED_BYTES = 1024 * 1024
 ERROR_HEAD_BYTES = 1024
+REJECT_UNITS = 20  # work of an error response, in units of the turn budget
 READY_BODY = b"ready\n"
 
 
@@ -55,6 +57,7 @@
     __slots__ = (
         "_connections",
         "_discarded_bytes",
+        "_has_unparsed",
         "_is_readiness_check",
         "_payload_bytes",
         "_payload_charge",
@@ -86,6 +89,7 @@
         self._request_charge = MemoryCharge(connections.memory.requests)
         self._request_charge.set(CONNECTION_OBJECTS_BYTES)
         self._payload_charge = MemoryCharge(connections.memory.responses)
+        self._has_unparsed = False  # received bytes wait for a later turn of the event loop
         self._is_readiness_check = False
         self._payload_bytes = 0  # of the response that is being written
         self._unsent: memoryview | None = None
@@ -109,6 +113,9 @@
                 # The next request stays unread, so its client can safely send it again on a new connection.
                 self._pause_reading()
             return
+        if self._connections.turn_budget.exhausted:
+            self._defer()
+            return
         max_bytes = self._readable_bytes()
         if not max_bytes:
             return
@@ -119,9 +126,27 @@
         except OSError:
             self.close()
             return
+        self._connections.turn_budget.spend(receive_units(len(data)))
         self._on_data(data)
         self._update_charge()
 
+    def _defer(self) -> None:
+        """Continue in a later turn of the event loop; until then nothing more is read."""
+        self._pause_reading()
+        self._connections.turn_budget.defer(self, self._continue)
+
+    def _continue(self) -> None:
+        self.resume_reading()
+        if self._has_unparsed:
+            self._parse_requests()
+        else:
+            self.on_readable()
+
+    @property
+    def is_deferred(self) -> bool:
+        """Whether data may wait for a later turn of the event loop."""
+        return self._connections.turn_budget.is_deferred(self)
+
     def _readable_bytes(self) -> int:
         """Return how many bytes to read now; 0 if the connection has to wait for memory."""
         if self.state not in RECEIVING_STATES:
@@ -187,9 +212,8 @@
 
     def process_pending(self) -> None:
         """Parse buffered data if there is any, else read data that is waiting in the socket."""
-        if self.state is ConnectionState.IDLE and (
-            self._reader.codec.has_buffered_data or self._pipeline_overflowed
-        ):
+        has_next_request = self._reader.codec.has_buffered_data or self._pipeline_overflowed
+        if self._has_unparsed or (self.state is ConnectionState.IDLE and has_next_request):
             self._parse_requests()
         elif not sockets.has_nothing_to_read(self.sock):
             self.on_readable()
@@ -199,15 +223,27 @@
     def _parse_requests(self) -> None:
         if self.state not in RECEIVING_STATES:
             return
+        self._has_unparsed = True
+        if self._connections.turn_budget.exhausted:
+            self._defer()
+            return
+        self._has_unparsed = False
         try:
-            progress = self._reader.read()
-            self._on_progress(progress)
+            self._on_progress(self._read_request())
         except ProtocolError as error:
             self.reject(error.status, error.reason, str(error))
         except OSError:
             self.close()
         self._update_charge()
 
+    def _read_request(self) -> RequestProgress:
+        codec = self._reader.codec
+        units_before = codec.work_units
+        try:
+            return self._reader.read(UNITS_PER_PEER)
+        finally:
+            self._connections.turn_budget.spend(codec.work_units - units_before)
+
     def _on_progress(self, progress: RequestProgress) -> None:
         if progress is RequestProgress.COMPLETE:
             self._dispatch_request()
@@ -215,6 +251,10 @@
             self._respond_ready()
         elif progress is RequestProgress.CLOSED:
             self.close()
+        elif progress is RequestProgress.HAS_MORE_WORK:
+            self._has_unparsed = True
+            self._enter_reading()
+            self._defer()
         else:
             self._wait_for_more()
 
@@ -238,6 +278,9 @@
             raise ProtocolError(
                 413, "too-large", f"more than {MAX_PIPELINED_BYTES} bytes were sent before the response"
             )
+        self._enter_reading()
+
+    def _enter_reading(self) -> None:
         if self.state is ConnectionState.IDLE:
             self.move_to(ConnectionState.READING_REQUEST)
 
@@ -256,8 +299,9 @@
     def reject(self, status: int, reason: str, text: str) -> None:
         """Respond with an error, then linger so that the client can read it before the connection closes."""
         self._connections.counts[reason] += 1
+        self._connections.turn_budget.spend(REJECT_UNITS)
         self.on_disconnect = None
-        self._reader.discard()
+        self._drop_input()
         try:
             self._send_error(status, reason, text)
             self.sock.shutdown(socket.SHUT_WR)
@@ -329,6 +373,12 @@
 
     # Closing.
 
+    def _drop_input(self) -> None:
+        """Drop what was received and not answered, and the work on it that waits for a later turn."""
+        self._connections.turn_budget.cancel(self)
+        self._has_unparsed = False
+        self._reader.discard()
+
     def _half_close(self) -> None:
         """Shut down the sending side and wait for the client to close.
 
@@ -343,7 +393,7 @@
         except OSError:
             self.close()
             return
-        self._reader.discard()
+        self._drop_input()
         self.move_to(ConnectionState.HALF_CLOSED)
         self.resume_reading()
         self._update_charge()
@@ -369,8 +419,10 @@
         """Whether part of a request was received; closing without a response would lose that request."""
         if self.state is ConnectionState.READING_REQUEST:
             return True
-        waits_for_memory = self._connections.client_memory.is_waiting(self)
-        return self.state is ConnectionState.NEW and (self.last_received_at_ms > 0 or waits_for_memory)
+        if self.state is not ConnectionState.NEW:
+            return False
+        has_unread_data = self.is_deferred or self._connections.client_memory.is_waiting(self)
+        return self.last_received_at_ms > 0 or has_unread_data
 
     @property
     def holds_request_data(self) -> bool:
@@ -398,7 +450,7 @@
         self._connections.client_memory.forget(self)
         self.move_to(ConnectionState.CLOSED)
         self.sock.close()
-        self._reader.discard()
+        self._drop_input()
         self._unsent = None
         self._update_charge()
         if on_disconnect is not None:
--- a/winchdyke/platform/client_connections.py
+++ b/winchdyke/platform/client_connections.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from winchdyke.http1 import ProtocolError
+from winchdyke.peer_limits.turn_budget import TurnBudget
 from winchdyke.platform import protocol
 from winchdyke.platform.client_connection import ClientConnection, ConnectionState
 from winchdyke.platform.peer_memory import PeerMemory
@@ -45,6 +46,7 @@
         request_parser: protocol.RequestParser,
         accept_request: AcceptRequest,
         memory: PeerMemory,
+        turn_budget: TurnBudget,
     ) -> None:
         self.loop = loop
         self.clock = clock
@@ -53,6 +55,7 @@
         self.large_body_bytes = 0  # reserved for bodies larger than protocol.MAX_BODY_BYTES
         self.max_large_body_bytes: float = memory.large_request_bodies_bytes
         self.memory = memory
+        self.turn_budget = turn_budget
         self.close_after_response = False  # if set, every response carries "Connection: close"
         # Ordered by when a connection entered the state, the oldest first.
         self.by_state: dict[ConnectionState, dict[ClientConnection, None]] = {
--- a/winchdyke/platform/client_idle_eviction.py
+++ b/winchdyke/platform/client_idle_eviction.py
@@ -50,7 +50,10 @@
         idle = self._by_state[ConnectionState.IDLE]
         max_idle = self._idle_limit.limit(connections.clock(), connections.awaiting_count)
         while len(idle) > max_idle:
-            closed = self._close_unless_active(next(iter(idle)), ClientConnection.close)
+            connection = next((each for each in idle if not each.is_deferred), None)
+            if connection is None:
+                return
+            closed = self._close_unless_active(connection, ClientConnection.close)
             connections.counts["idle_evicted"] += closed
 
     def close_idle(self) -> None:
@@ -76,10 +79,16 @@
         return False
 
     def _check_timeouts(self) -> None:
-        now_ms = self._connections.clock()
         for connection in list(self._by_state[ConnectionState.HALF_CLOSED]):
             connection.is_still_connected()
         self._resume_paused()
+        self._close_all_expired()
+        self._connections.client_memory.make_room()
+        self._connections.loop.call_later(CHECK_INTERVAL_SECONDS, self._check_timeouts)
+
+    def _close_all_expired(self) -> None:
+        """Close the connections whose state has timed out, as many in a turn of the event loop as its budget allows."""
+        now_ms = self._connections.clock()
         for state, timeout_ms in (
             (ConnectionState.NEW, REQUEST_TIMEOUT_MS),
             (ConnectionState.READING_REQUEST, REQUEST_TIMEOUT_MS),
@@ -90,8 +99,9 @@
         ):
             if state is not ConnectionState.IDLE or not self.idle_limits_suspended:
                 self._close_expired(state, now_ms, timeout_ms)
-        self._connections.client_memory.make_room()
-        self._connections.loop.call_later(CHECK_INTERVAL_SECONDS, self._check_timeouts)
+            if self._connections.turn_budget.exhausted:
+                self._connections.turn_budget.defer(self, self._close_all_expired)
+                return
 
     def _resume_paused(self) -> None:
         awaiting = self._by_state[ConnectionState.AWAITING_RESPONSE]
@@ -101,7 +111,7 @@
 
     def _close_expired(self, state: ConnectionState, now_ms: float, timeout_ms: float) -> None:
         for connection in list(self._by_state[state]):
-            if now_ms - connection.state_since_ms < timeout_ms:
+            if now_ms - connection.state_since_ms < timeout_ms or self._connections.turn_budget.exhausted:
                 return
             self._close_unless_active(connection, ClientConnection.on_timeout)
 
@@ -109,12 +119,13 @@
     def _close_unless_active(connection: ClientConnection, close: Callable[[ClientConnection], None]) -> bool:
         """Process a connection's pending data, and close it if that leaves its state unchanged.
 
-        Returns whether the connection was closed.
+        An idle connection is kept if its data waits for a later turn of the event loop; one with a partial request is
+        not, since a client could keep it open by sending without an end. Returns whether the connection was closed.
         """
         state = connection.state
         if state not in IGNORED_INPUT_STATES:
             connection.process_pending()
-        if connection.state is not state:
+        if connection.state is not state or (state is ConnectionState.IDLE and connection.is_deferred):
             return False
         close(connection)
         return True
--- a/winchdyke/platform/client_request.py
+++ b/winchdyke/platform/client_request.py
@@ -1,4 +1,4 @@
-"""Reads the requests of one client connection out of the received bytes."""
+"""Reads the requests of one client connection out of the received bytes, in steps of bounded work."""
 
 from __future__ import annotations
 
@@ -17,6 +17,7 @@
     """How far the reader has come."""
 
     NEEDS_DATA = auto()  # more bytes are needed
+    HAS_MORE_WORK = auto()  # the work of this step is done, and more bytes may be parsed
     COMPLETE = auto()  # a request for the scheduler is complete
     READINESS_CHECK = auto()  # the platform's check whether the gateway is ready
     CLOSED = auto()  # the client has closed between requests
@@ -54,8 +55,8 @@
             held_bytes += request_memory_bytes(self._request)
         return held_bytes
 
-    def read(self) -> RequestProgress:
-        """Parse the received bytes until a request is complete.
+    def read(self, max_work_units: int) -> RequestProgress:
+        """Parse the received bytes until a request is complete, or until ``max_work_units`` of work are done.
 
         Raises ProtocolError if the request is invalid or exceeds a limit.
         """
@@ -63,7 +64,7 @@
             progress = self._read_head()
             if progress is not None:
                 return progress
-        return self._read_body()
+        return self._read_body(max_work_units)
 
     def _read_head(self) -> RequestProgress | None:
         """Return None once a request has begun whose body may follow."""
@@ -81,8 +82,9 @@
             self._send_continue(self.codec.continue_response())
         return None
 
-    def _read_body(self) -> RequestProgress:
+    def _read_body(self, max_work_units: int) -> RequestProgress:
         codec = self.codec
+        last_work_units = codec.work_units + max_work_units
         while not codec.body_done:
             piece = codec.body()
             if isinstance(piece, NeedData):
@@ -91,6 +93,8 @@
                 break
             self._body += piece
             self._reserve_body(len(self._body))
+            if codec.work_units >= last_work_units:
+                return RequestProgress.HAS_MORE_WORK
         return RequestProgress.COMPLETE
 
     def take_request(self) -> protocol.ParsedRequest:
--- a/winchdyke/platform/maintenance.py
+++ b/winchdyke/platform/maintenance.py
@@ -64,6 +64,7 @@
             client_connections=self._clients.count,
             open_requests=self._clients.awaiting_count,
             store_connections=len(self._upstream_pool.connections),
+            turns_deferred=self._clients.turn_budget.deferred_count,
             request_memory_bytes=self._clients.memory.requests.used_bytes,
             response_memory_bytes=self._clients.memory.responses.used_bytes,
             worst_lag_ms=round(self._worst_lag_seconds * 1000, 1),
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -12,6 +12,7 @@
 
 from winchdyke.gateway.scheduler_loop import SchedulerLoop, monotonic_ms
 from winchdyke.interface import EndpointListKind
+from winchdyke.peer_limits.turn_budget import TurnBudget
 from winchdyke.platform import configuration, protocol, sockets
 from winchdyke.platform.client_connection import ClientConnection
 from winchdyke.platform.client_connections import ClientConnections
@@ -60,6 +61,7 @@
         self.scheduler_loop.on_event_posted = self._schedule_turn
         descriptors = max(MIN_SHARED_DESCRIPTORS, environment.limits.max_descriptors - RESERVED_DESCRIPTORS)
         max_clients = int(descriptors * CLIENT_DESCRIPTOR_FRACTION)
+        self.turn_budget = TurnBudget(loop.call_soon)
         self.memory = PeerMemory.of_machine(environment.limits.memory_mb)
         self.upstream_pool = self._make_upstream_pool(descriptors - max_clients)
         self.endpoints = EndpointDirectory(self.scheduler_loop, self.upstream_pool, self.clock)
@@ -114,7 +116,9 @@
 
     def _make_clients(self) -> ClientConnections:
         parser = protocol.RequestParser(self.environment.settings, self.memory.max_request_body_bytes)
-        clients = ClientConnections(self.loop, self.clock, parser, self._accept_request, self.memory)
+        clients = ClientConnections(
+            self.loop, self.clock, parser, self._accept_request, self.memory, self.turn_budget
+        )
         clients.client_memory = ClientMemory(clients, self.memory.requests, self.memory.responses)
         return clients
 
--- a/winchdyke/platform/shutdown_sequence.py
+++ b/winchdyke/platform/shutdown_sequence.py
@@ -74,7 +74,7 @@
         return now_ms >= schedule.respond_by_ms or not self._clients.has_unfinished
 
     def _process_pending(self) -> bool:
-        """Accept all waiting connections and read all waiting data; return whether no response is pending.
+        """Accept all waiting connections and read all waiting data; return whether nothing is pending.
 
         Called in the last turn of the event loop: the kernel has accepted this data, so the requests in it
         would be lost if the process exited now.
@@ -82,4 +82,4 @@
         while not self._listener.accept_pending():
             pass
         self._clients.process_pending()
-        return not self._clients.awaiting_count
+        return not self._clients.awaiting_count and not self._clients.turn_budget.has_deferred
