Ration the work for stores' answers and the watch in a turn of the event loop

Seen by callers: where stores spoil one answer in twenty by tiny chunks without an end, requests at sound stores were answered up to 10 s late.

Cause: the response reader parsed all that a read had brought, and the attempt read on in the same turn as long as reads came back full.

A deadline that falls into a turn without budget is looked at in the next one.

Why it works: what one store may take of a turn is bounded, and so is the sum of all.

--- a/tests/test_turn_budget.py
+++ b/tests/test_turn_budget.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import json
 from collections import Counter
 
 import pytest
-from test_platform_sockets import read_response, start_harness
+from test_platform_sockets import OK_RESPONSE, read_response, start_harness, wait_until
 
-from winchdyke.http1 import ServerCodec
+from winchdyke.http1 import ClientCodec, ServerCodec
 from winchdyke.peer_limits.turn_budget import UNITS_PER_TURN, TurnBudget, receive_units
-from winchdyke.platform import client_idle_eviction
+from winchdyke.platform import client_idle_eviction, sockets
 from winchdyke.platform.client_connection import ClientConnection, ConnectionState
 
 # A chunk takes two units; the last peer of a turn may go beyond the budget by its part.
@@ -182,3 +184,92 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_stores_that_send_tiny_chunks_share_the_work_of_a_turn(tmp_path, monkeypatch):
+    # Guards against a few endless answers in tiny chunks that take a gateway from 250 to 13 answers a second.
+    counter = TurnCounter(monkeypatch, ClientCodec, "body")
+
+    async def respond(writer: asyncio.StreamWriter, head: bytes, number: int) -> None:
+        if b"Req-Kind: write" not in head and b"req-kind: write" not in head:
+            writer.write(OK_RESPONSE)
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        with contextlib.suppress(OSError):
+            for _ in range(100):
+                writer.write(b"1\r\nx\r\n" * 10_000)
+                await writer.drain()
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path, respond) as harness:
+            counter.start()
+            store_counts = harness.gateway.upstream_pool.counts
+            readers = []
+            for _ in range(8):
+                reader, writer = await harness.connect_client()
+                writer.write(harness.build_request(**{"Req-Kind": "write", "Req-Deadline-Ms": "9000"}))
+                readers.append((reader, writer))
+            assert (await harness.send_request(**{"Req-Deadline-Ms": "9000"}))[0] == 200
+            for reader, writer in readers:
+                assert (await read_response(reader))[0] >= 500
+                writer.close()
+            assert store_counts["malformed_response:framing"] >= 8
+
+    asyncio.run(scenario())
+    assert 0 < counter.max_calls <= MAX_CHUNKS_PER_TURN
+
+
+def test_response_in_tiny_chunks_with_little_framing_is_served(tmp_path):
+    # Guards against bounds on work that cut a sound response which takes several turns to parse.
+    body = bytes(range(256)) * 12
+
+    def respond(writer: asyncio.StreamWriter, head: bytes, number: int) -> None:
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n")
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path, respond) as harness:
+            for _ in range(3):  # the connection to the store is used again
+                assert (await harness.send_request(**{"Req-Deadline-Ms": "9000"}))[::2] == (200, body)
+                await asyncio.sleep(0.06)
+            assert harness.store.connections == 1
+
+    asyncio.run(scenario())
+
+
+def test_response_that_has_arrived_precedes_its_deadline_in_a_turn_without_budget(tmp_path):
+    # Guards against an attempt that times out with its response in the socket, because the turn's budget is spent.
+    async def scenario() -> None:
+        async with start_harness(tmp_path, lambda *_: None) as harness:
+            gateway = harness.gateway
+            reader, writer = await harness.connect_client()
+            writer.write(harness.build_request(**{"Req-Deadline-Ms": "9000"}))
+            await wait_until(lambda: bool(harness.store.received_requests))
+            (connection,) = gateway.upstream_pool.connections
+            gateway.loop.remove_reader(connection.sock.fileno())
+            harness.store.writers[0].write(OK_RESPONSE)
+            await wait_until(lambda: not sockets.has_nothing_to_read(connection.sock))
+            gateway.turn_budget.spend(UNITS_PER_TURN)
+            connection.attempt._on_deadline()
+            assert not connection.attempt.finished
+            assert (await read_response(reader))[::2] == (200, b"good")
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_watch_that_sends_tiny_chunks_shares_the_work_of_a_turn(tmp_path, monkeypatch):
+    # Guards against discovery, crowded or broken, that stops the event loop; what it says is heard all the same.
+    counter = TurnCounter(monkeypatch, ClientCodec, "body")
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path) as harness:
+            counter.start()
+            line = {"version": 2, "full": False, "servers": [{**harness.entry, "state": "terminating"}]}
+            data = b"\n" * 30_000 + json.dumps(line).encode() + b"\n"
+            harness.watches[-1].write(b"".join(b"1\r\n%c\r\n" % byte for byte in data))
+            await wait_until(lambda: harness.gateway.discovery.version == 2)
+            assert len(harness.watches) == 1, "the watch goes on"
+
+    asyncio.run(scenario())
+    assert 0 < counter.max_calls <= MAX_CHUNKS_PER_TURN
--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -346,6 +346,10 @@
         """The number of received bytes that were not parsed yet."""
         return self._receiver.buffered_bytes
 
+    def restart_framing_count(self) -> None:
+        """Count chunked framing anew, for a body without an end that consists of many messages."""
+        self._receiver.gate.start_body()
+
     def head(self) -> ResponseHead | NeedData:
         """Return the response's head. Informational responses are skipped."""
         try:
--- a/winchdyke/platform/discovery_client.py
+++ b/winchdyke/platform/discovery_client.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from winchdyke.peer_limits.turn_budget import TurnBudget
 from winchdyke.platform.configuration import Address
 from winchdyke.platform.discovery_protocol import EndpointListError, EndpointListing
 from winchdyke.platform.discovery_watch import ENDED, EndpointWatch
@@ -35,8 +36,10 @@
         address: Address,
         version: int,
         on_endpoint_list: Callable[[EndpointListing], None],
+        turn_budget: TurnBudget,
     ) -> None:
         self.loop = loop
+        self.turn_budget = turn_budget
         self.address = address
         self.version = version
         self.first_response: asyncio.Future[None] = loop.create_future()
--- a/winchdyke/platform/discovery_watch.py
+++ b/winchdyke/platform/discovery_watch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, cast
 
 from winchdyke.http1 import ClientCodec, EndOfBody, NeedData, ProtocolError
+from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, receive_units
 from winchdyke.platform import protocol
 from winchdyke.platform.discovery_protocol import (
     ENDPOINTS_PATH,
@@ -19,6 +20,7 @@
     from winchdyke.platform.discovery_client import DiscoveryClient
 
 MAX_HEAD_BYTES = 16 * 1024
+LINE_UNITS = 2  # work of an object or an empty line, in units of the turn budget
 ENDED = "ended"  # the reason passed on when discovery ends a watch normally
 
 
@@ -63,24 +65,49 @@
         if self.closed:
             return
         self.last_received_at = self._client.loop.time()
+        self._client.turn_budget.spend(receive_units(len(data)))
+        self._codec.feed(data)
+        if not self._client.turn_budget.is_deferred(self):
+            self._parse_step()
+
+    def _parse_step(self) -> None:
+        """Parse received bytes with the work that one peer may use, and the rest in a later turn of the event loop."""
+        if self.closed:
+            return
+        budget = self._client.turn_budget
+        units_before = self._codec.work_units
         try:
-            self._codec.feed(data)
-            self._parse()
+            has_more_work = self._parse(UNITS_PER_PEER)
         except (ProtocolError, EndpointListError) as error:
             self._client.handle_unreadable(self, str(error))
-
-    def _parse(self) -> None:
-        if not self._head_received and not self._parse_head():
             return
+        finally:
+            budget.spend(self._codec.work_units - units_before)
+        if self.closed or self.transport is None:
+            return
+        if has_more_work:
+            self.transport.pause_reading()
+            budget.defer(self, self._parse_step)
+        else:
+            self.transport.resume_reading()
+
+    def _parse(self, max_work_units: int) -> bool:
+        """Parse received bytes; return whether the work of this step was done before all of them were parsed."""
+        if not self._head_received and not self._parse_head():
+            return False
+        last_work_units = self._codec.work_units + max_work_units
         while not self.closed and not isinstance(piece := self._codec.body(), NeedData):
             self.has_received_data = True
             if isinstance(piece, EndOfBody):
                 self._on_end()
-                return
+                return False
             if self._full_list:
                 self._append(piece)
             else:
                 self._parse_changes(piece)
+            if self._codec.work_units >= last_work_units:
+                return True
+        return False
 
     def _parse_head(self) -> bool:
         head = self._codec.head()
@@ -103,6 +130,11 @@
             raise EndpointListError(f"the list is larger than {MAX_LIST_BYTES} bytes")
 
     def _parse_changes(self, piece: bytes | bytearray) -> None:
+        lines = piece.count(b"\n")
+        self._client.turn_budget.spend(lines * LINE_UNITS)
+        if lines:
+            # A watch has no end: each object or empty line is a message of its own.
+            self._codec.restart_framing_count()
         for listing in self._parser.feed(piece):
             if not self.closed:
                 self._client.handle_endpoint_list(self, listing)
@@ -121,5 +153,6 @@
     def abort(self) -> None:
         """Close immediately and report nothing more to the client."""
         self.closed = True
+        self._client.turn_budget.cancel(self)
         if self.transport is not None:
             self.transport.abort()
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -79,7 +79,7 @@
         self.clients.on_connection_idle = self.idle_eviction.trim_idle
         self.clients.on_connection_closed = self.listener.resume
         self.discovery = DiscoveryClient(
-            loop, environment.discovery_address, cached.version, self._on_endpoint_list
+            loop, environment.discovery_address, cached.version, self._on_endpoint_list, self.turn_budget
         )
         self._accept_after_first_discovery_response()
         self.shutdown = ShutdownSequence(
@@ -112,6 +112,7 @@
             max_connections,
             environment.load_report_fields,
             ResponseMemory(self.memory.max_response_body_bytes, self.memory.responses),
+            self.turn_budget,
         )
 
     def _make_clients(self) -> ClientConnections:
--- a/winchdyke/platform/upstream_attempt.py
+++ b/winchdyke/platform/upstream_attempt.py
@@ -29,12 +29,13 @@
 
 from winchdyke.gateway.pool import RESOURCE_EXHAUSTION_ERRNOS
 from winchdyke.interface import AttemptOutcome
+from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, receive_units
 from winchdyke.platform import protocol, sockets
 from winchdyke.platform.protocol import AttemptResult
 from winchdyke.platform.upstream_connection import EndpointAddress, UpstreamConnection
 from winchdyke.platform.upstream_deadline import AttemptDeadline
 from winchdyke.platform.upstream_pool import UpstreamPool
-from winchdyke.platform.upstream_response import MalformedResponseError, ResponseReader
+from winchdyke.platform.upstream_response import MalformedResponseError, ResponseProgress, ResponseReader
 
 # A response without a length ends when its connection closes, which happens shortly after the last byte. If
 # the connection stays open for longer than this, the response is malformed.
@@ -55,9 +56,11 @@
         "_connection",
         "_deadline",
         "_fully_written",
+        "_has_unparsed",
         "_last_byte_at_ms",
         "_opened_connection",
         "_pool",
+        "_reading_paused",
         "_response",
         "_unsent",
         "body",
@@ -102,6 +105,8 @@
         self._unsent: memoryview | None = None
         self._last_byte_at_ms = 0.0
         self._opened_connection = False
+        self._reading_paused = False
+        self._has_unparsed = False  # received bytes wait for a later turn of the event loop
         self._fully_written = False  # True once the kernel has the last byte: the store may run the request
         self.written_at_ms = -1e18  # when the last byte was written; far in the past until then
 
@@ -119,7 +124,7 @@
     def cancel(self) -> None:
         """Cancel the attempt; a response that has already arrived still counts."""
         if not self.finished and self._connection is not None and self._connection.established:
-            self.on_readable()
+            self._read()
         outcome = AttemptOutcome.CANCELLED if self._fully_written else AttemptOutcome.NOT_SENT
         self._finish(AttemptResult(outcome))
 
@@ -144,32 +149,69 @@
             self._write()
 
     def on_readable(self) -> None:
-        """Read the data that has arrived."""
+        """Read the data that has arrived, in a later turn of the event loop if this turn's budget is spent."""
+        if self._pool.turn_budget.exhausted:
+            self._defer()
+        else:
+            self._read()
+
+    def _defer(self) -> None:
+        """Continue in a later turn of the event loop; until then nothing more is read."""
         connection = self._connection
         assert connection is not None
-        while not self.finished:
-            try:
-                data, self._last_byte_at_ms = sockets.receive(connection.sock)
-            except BlockingIOError:
-                return
-            except OSError as error:
-                self._fail_broken(os.strerror(error.errno or 0))
-                return
-            if not self._on_data(connection, data):
+        if not self._reading_paused:
+            self._reading_paused = True
+            self._pool.loop.remove_reader(connection.sock.fileno())
+        self._pool.turn_budget.defer(self, self._read)
+
+    def _resume_reading(self, connection: UpstreamConnection) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            self._pool.turn_budget.cancel(self)
+            self._pool.loop.add_reader(connection.sock.fileno(), connection.on_readable)
+
+    def _read(self) -> None:
+        """Parse what is left of the last read, or read from the socket, with the work that one peer may use."""
+        connection = self._connection
+        assert connection is not None
+        budget = self._pool.turn_budget
+        self._resume_reading(connection)
+        units_left = UNITS_PER_PEER
+        while not self.finished and units_left > 0:
+            units_before = connection.codec.work_units
+            received_bytes = 0 if self._has_unparsed else self._receive(connection)
+            goes_on = received_bytes is not None and self._on_received(connection)
+            units = connection.codec.work_units - units_before + receive_units(received_bytes or 0)
+            budget.spend(units)
+            units_left -= units
+            if not goes_on or received_bytes is None or received_bytes < sockets.MAX_RECEIVE_BYTES:
                 return
 
-    def _on_data(self, connection: UpstreamConnection, data: bytes) -> bool:
-        """Parse received bytes; return whether to read from the socket again."""
-        response = self._response
-        if not data and not response.close_delimited:
+    def _receive(self, connection: UpstreamConnection) -> int | None:
+        """Read from the socket once; return the number of bytes, None if there is nothing to parse."""
+        try:
+            data, self._last_byte_at_ms = sockets.receive(connection.sock)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            self._fail_broken(os.strerror(error.errno or 0))
+            return None
+        if not data and not self._response.close_delimited:
             self._fail_broken("ended")  # the body is shorter than its head says
-            return False
+            return None
+        self._response.feed(connection.codec, data)
+        return len(data)
+
+    def _on_received(self, connection: UpstreamConnection) -> bool:
+        """Parse received bytes; return whether more bytes may be read in this turn."""
+        response = self._response
         try:
-            complete = response.feed(connection.codec, data)
+            progress = response.read(connection.codec, UNITS_PER_PEER)
         except MalformedResponseError as error:
             self._fail_malformed(error.reason)
             return False
-        if complete:
+        self._has_unparsed = progress is ResponseProgress.HAS_MORE_WORK
+        if progress is ResponseProgress.COMPLETE:
             self._on_response()
             return False
         if response.close_delimited:
@@ -177,7 +219,10 @@
         if response.exceeds_wire_limit:
             self._fail_malformed("too-large")
             return False
-        return len(data) >= sockets.MAX_RECEIVE_BYTES
+        if self._has_unparsed:
+            self._defer()
+            return False
+        return True
 
     def _on_response(self) -> None:
         result = self._response.result
@@ -222,6 +267,7 @@
         self._finish(AttemptResult(AttemptOutcome.NOT_SENT if local else AttemptOutcome.CONNECT_FAILED))
 
     def _set_deadline(self, due_at_ms: float) -> None:
+        self._pool.turn_budget.cancel(self._deadline)
         self._deadline.set(due_at_ms, self._on_deadline)
 
     def _on_deadline(self) -> None:
@@ -229,8 +275,11 @@
         due_at_ms = self._deadline.due_at_ms
         assert connection is not None
         # The event loop may be late: data that is already in the socket takes precedence over the deadline.
+        if connection.established and self._pool.turn_budget.exhausted:
+            self._pool.turn_budget.defer(self._deadline, self._on_deadline)
+            return
         if connection.established:
-            self.on_readable()
+            self._read()
         elif sockets.connect_has_finished(connection.sock):
             self.on_writable()
         if self.finished or self._deadline.due_at_ms != due_at_ms:
@@ -306,6 +355,8 @@
         self.finished = True
         self._response.release()
         self._deadline.cancel()
+        self._pool.turn_budget.cancel(self)
+        self._pool.turn_budget.cancel(self._deadline)
         responded = result.outcome in RESPONSE_OUTCOMES
         self._release_connection(responded)
         if result.outcome is AttemptOutcome.TIMED_OUT:
--- a/winchdyke/platform/upstream_pool.py
+++ b/winchdyke/platform/upstream_pool.py
@@ -9,6 +9,7 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 
+from winchdyke.peer_limits.turn_budget import TurnBudget
 from winchdyke.platform import sockets
 from winchdyke.platform.upstream_connection import EndpointAddress, UpstreamConnection
 from winchdyke.platform.upstream_response import ResponseMemory
@@ -37,6 +38,7 @@
         max_connections: int,
         load_report_fields: tuple[str, ...],
         response_memory: ResponseMemory,
+        turn_budget: TurnBudget,
     ) -> None:
         self.loop = loop
         self.clock = clock
@@ -45,6 +47,7 @@
         self.max_connections = max_connections
         self.load_report_fields = load_report_fields
         self.response_memory = response_memory
+        self.turn_budget = turn_budget
         self.connections: set[UpstreamConnection] = set()
         self.counts: Counter[str] = Counter()
         self._idle: OrderedDict[UpstreamConnection, None] = OrderedDict()  # longest idle first
--- a/winchdyke/platform/upstream_response.py
+++ b/winchdyke/platform/upstream_response.py
@@ -1,8 +1,9 @@
-"""Reads one complete response of a store within memory limits."""
+"""Reads one complete response of a store within memory limits, in steps of bounded work."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum, auto
 
 from winchdyke.http1 import ClientCodec, EndOfBody, NeedData, ProtocolError
 from winchdyke.peer_limits.memory_account import MemoryAccount, MemoryCharge
@@ -13,13 +14,21 @@
 
 
 class MalformedResponseError(Exception):
-    """A response must not be forwarded; ``reason`` is ``http``, ``length`` or ``too-large``."""
+    """A response must not be forwarded; ``reason`` is ``http``, ``framing``, ``length`` or ``too-large``."""
 
     def __init__(self, reason: str) -> None:
         super().__init__(f"malformed response: {reason}")
         self.reason = reason
 
 
+class ResponseProgress(Enum):
+    """How far the reader has come."""
+
+    NEEDS_DATA = auto()  # more bytes are needed
+    HAS_MORE_WORK = auto()  # the work of this step is done, and more bytes may be parsed
+    COMPLETE = auto()
+
+
 class ResponseMemory:
     """Limits the memory of one response, and of all responses that are being read or written to clients.
 
@@ -87,34 +96,40 @@
         """Whether more bytes were received than a body of the permitted size can take with its framing."""
         return self._received_bytes > 2 * self._memory.max_response_bytes + MAX_FRAMING_BYTES
 
-    def feed(self, codec: ClientCodec, data: bytes) -> bool:
-        """Parse received bytes, empty at the end of the connection; return whether the response is complete.
+    def feed(self, codec: ClientCodec, data: bytes) -> None:
+        """Add received bytes, empty at the end of the connection."""
+        self._received_bytes += len(data)
+        codec.feed(data)
+
+    def read(self, codec: ClientCodec, max_work_units: int) -> ResponseProgress:
+        """Parse the received bytes until the response is complete, or until ``max_work_units`` of work are done.
 
         Raises MalformedResponseError if the response must not be forwarded.
         """
-        self._received_bytes += len(data)
         try:
-            codec.feed(data)
-            complete = self._parse(codec)
+            progress = self._parse(codec, max_work_units)
         except ProtocolError as error:
-            raise MalformedResponseError("http") from error
+            raise MalformedResponseError("framing" if error.reason == "store-framing" else "http") from error
         self._charge.set(codec.buffered_bytes + len(self._body))
-        if not complete and self._memory.is_exceeded():
+        if progress is not ResponseProgress.COMPLETE and self._memory.is_exceeded():
             raise MalformedResponseError("too-large")
-        return complete
+        return progress
 
     def release(self) -> None:
         """Release the memory of the response."""
         self._charge.set(0)
 
-    def _parse(self, codec: ClientCodec) -> bool:
+    def _parse(self, codec: ClientCodec, max_work_units: int) -> ResponseProgress:
+        last_work_units = codec.work_units + max_work_units
         if self.result is None and not self._parse_head(codec):
-            return False
+            return ResponseProgress.NEEDS_DATA
         while not isinstance(piece := codec.body(), NeedData):
             if isinstance(piece, EndOfBody):
-                return True
+                return ResponseProgress.COMPLETE
             self._append(piece)
-        return False
+            if codec.work_units >= last_work_units:
+                return ResponseProgress.HAS_MORE_WORK
+        return ResponseProgress.NEEDS_DATA
 
     def _parse_head(self, codec: ClientCodec) -> bool:
         head = codec.head()
