Let the tasks of winchdyke serve share the work of a turn of the event loop

A task that reads a store's response took all that had arrived apart without giving the event loop back in between; S3's own chunks had no bound on their framing.

Uploads did not show it: each part is forwarded, and waits, by itself.

Change: tasks wait for a turn before they parse, from a budget that all of the event loop share; before, not after, so that a cancellation loses no part of a body. Reading a response stands once, at the connection. Framing of aws-chunked bodies is bounded as that of chunked ones.

--- a/tests/test_auth.py
+++ b/tests/test_auth.py
@@ -379,3 +379,11 @@
     with pytest.raises(AccessKeyFileError, match="no action 'fly'"):
         read_keys(path)
     assert AccessKey("a", "b", "c").is_valid(0)
+
+
+def test_aws_chunks_whose_framing_outweighs_their_payload_are_rejected():
+    # Guards against uploads in chunks of a byte, whose work does not depend on the size of a chunk.
+    body = BodyVerifier(ExpectedBody("STREAMING-UNSIGNED-PAYLOAD-TRAILER", aws_chunked=True))
+    assert len(body.feed(b"1\r\nx\r\n" * 4_000)) == 3_999, "a few are accepted"
+    with pytest.raises(S3Error):
+        body.feed(b"1\r\nx\r\n" * 4_000)
--- a/winchdyke/discovery/list_service.py
+++ b/winchdyke/discovery/list_service.py
@@ -17,6 +17,7 @@
 from winchdyke.discovery.sources import MAX_LIST_BYTES, OnFailure, OnList
 from winchdyke.http1 import ClientCodec, EndOfBody, NeedData, ProtocolError, ResponseHead
 from winchdyke.interface import EndpointListKind
+from winchdyke.peer_limits.task_turns import TaskTurns
 
 MIN_POLL_INTERVAL_SECONDS = 0.02
 MAX_HEADER_BYTES = 64 * 1024
@@ -106,14 +107,17 @@
             codec = ClientCodec(MAX_HEADER_BYTES)
             headers = [(b"host", host.encode()), (b"connection", b"close")]
             await stream.send(codec.request("GET", target.encode(), headers) + codec.end())
+            turns = TaskTurns()
             while isinstance(head := codec.head(), NeedData):
                 codec.feed(await _receive(stream))
             body = bytearray()
             while not isinstance(piece := codec.body(), EndOfBody):
+                turns.count(codec.work_units)
                 if isinstance(piece, NeedData):
                     codec.feed(await _receive(stream))
                 else:
                     body += piece
+                await turns.wait()
                 if len(body) > MAX_LIST_BYTES:
                     raise EndpointListError(f"the list is larger than {MAX_LIST_BYTES} bytes")
         return head, bytes(body)
--- a/winchdyke/gateway/attempts.py
+++ b/winchdyke/gateway/attempts.py
@@ -13,14 +13,13 @@
 
 from winchdyke.gateway.bodies import BodyStoreFullError, ReplayBody
 from winchdyke.gateway.pool import ConnectError, Connection, ConnectionPool
-from winchdyke.http1 import Bytes, EndOfBody, Headers, NeedData, ProtocolError, ResponseHead
+from winchdyke.http1 import Bytes, EndOfBody, Headers, ProtocolError, ResponseHead
 from winchdyke.interface import AttemptOutcome
 from winchdyke.object_api import store_protocol
 from winchdyke.object_api.sinks import Sink
 from winchdyke.quotas.token_bucket import QuotaExceededError
 
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024  # a larger response is streamed
-RECEIVE_BYTES = 256 * 1024  # the transport's read size; a smaller one would copy each read in pieces
 CONNECTION_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -261,9 +260,7 @@
     # Reading the response
 
     async def _read_response(self, connection: Connection) -> AttemptResult:
-        codec = connection.codec
-        while isinstance(head := codec.head(), NeedData):
-            codec.feed(await self._receive(connection))
+        head = await connection.read_head()
         self._enter_phase("answer")
         if not self._is_expected(head):
             raise ProtocolError(502, "store-range", "the store's range is not the requested one")
@@ -272,14 +269,14 @@
         while len(body) <= MAX_BUFFERED_RESPONSE_BYTES and (
             head.length is None or head.length <= MAX_BUFFERED_RESPONSE_BYTES
         ):
-            chunk = await self._read_body_chunk(connection)
+            chunk = await connection.read_body_chunk()
             if isinstance(chunk, EndOfBody):
                 return self._complete_response(head, report, bytes(body))
             body += chunk
         if head.status >= 500:
             return self._complete_response(head, report, b"")
         while not body:
-            chunk = await self._read_body_chunk(connection)
+            chunk = await connection.read_body_chunk()
             if isinstance(chunk, EndOfBody):
                 return self._complete_response(head, report, b"")
             body += chunk
@@ -322,7 +319,7 @@
                 await self._send_to_client(self._sink.data(chunk))
                 body_bytes += len(chunk)
                 with anyio.fail_after(self._stream_idle_ms / 1000):
-                    chunk = await self._read_body_chunk(connection)
+                    chunk = await connection.read_body_chunk()
             await self._send_to_client(self._sink.finish())
             result.outcome = AttemptOutcome.SERVED
         except ClientDisconnectedError as error:
@@ -345,17 +342,3 @@
         finally:
             self._client_wait_ms += self._clock() - started_at_ms
             self._enter_phase("answer")
-
-    async def _read_body_chunk(self, connection: Connection) -> Bytes | EndOfBody:
-        while True:
-            chunk = connection.codec.body()
-            if not isinstance(chunk, NeedData):
-                return chunk
-            connection.codec.feed(await self._receive(connection))
-
-    @staticmethod
-    async def _receive(connection: Connection) -> bytes:
-        try:
-            return await connection.stream.receive(RECEIVE_BYTES)
-        except anyio.EndOfStream:
-            return b""  # the parser knows whether the response may end here
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -13,7 +13,8 @@
 from anyio.streams.tls import TLSStream
 
 from winchdyke.config.model import Limits
-from winchdyke.gateway.attempts import CONNECTION_ERRORS, RECEIVE_BYTES, ClientDisconnectedError
+from winchdyke.gateway.attempts import CONNECTION_ERRORS, ClientDisconnectedError
+from winchdyke.gateway.pool import RECEIVE_BYTES
 from winchdyke.http1 import (
     NEED_DATA,
     Bytes,
@@ -27,6 +28,7 @@
 )
 from winchdyke.object_api import answers
 from winchdyke.object_api.store_protocol import client_headers
+from winchdyke.peer_limits.task_turns import TaskTurns
 
 MAX_READ_AHEAD_BYTES = 128 * 1024
 # An unread request body up to this size is read and discarded, so that its connection can be kept.
@@ -64,6 +66,7 @@
         self.response_status = 0
         self.response_bytes = 0
         self.declared_body_bytes: int | None = 0
+        self._turns = TaskTurns()
         self._stream = stream
         self._limits = limits
         self._clock = clock
@@ -167,7 +170,8 @@
 
     async def _next_head(self) -> RequestHead | None:
         # Timeouts are detected by a periodic sweep over all connections, which costs less than a timer for each wait.
-        head = self.codec.head() if self._unread_bytes else NEED_DATA
+        await self._turns.wait()
+        head = self._parse_head() if self._unread_bytes else NEED_DATA
         if head is NEED_DATA and not self.disconnected:
             self.idle = True
             self.timeout_at_ms = self._clock() + self._limits.idle_timeout
@@ -176,7 +180,8 @@
                 if self.idle and not self._timed_out:
                     self.idle = False
                     self.timeout_at_ms = self._clock() + self._limits.header_timeout
-                head = self.codec.head()
+                await self._turns.wait()
+                head = self._parse_head()
             self.idle = False
             self.timeout_at_ms = float("inf")
             if head is NEED_DATA and not self.disconnected and self._received_any:
@@ -184,6 +189,12 @@
         self._received_any = False
         return head if isinstance(head, RequestHead) else None
 
+    def _parse_head(self) -> RequestHead | NeedData | None:
+        try:
+            return self.codec.head()
+        finally:
+            self._turns.count(self.codec.work_units)
+
     async def _finish_exchange(self) -> bool:
         """Discard the rest of the request; return whether the connection can be used for the next one."""
         if self.disconnected or self.codec.can_respond:
@@ -253,7 +264,9 @@
         if self.codec.waiting_for_continue:
             await self._send(self.codec.continue_response())
         while True:
+            await self._turns.wait()
             chunk = self.codec.body()
+            self._turns.count(self.codec.work_units)
             if not isinstance(chunk, (NeedData, EndOfBody)):
                 self._unread_bytes = max(0, self._unread_bytes - len(chunk))
                 self._reading_resumed.set()
--- a/winchdyke/gateway/daemon.py
+++ b/winchdyke/gateway/daemon.py
@@ -36,7 +36,7 @@
 from winchdyke.gateway.pool import ConnectError, Connection
 from winchdyke.gateway.scheduler_loop import SchedulerLoop
 from winchdyke.gateway.service import Service
-from winchdyke.http1 import EndOfBody, NeedData
+from winchdyke.http1 import EndOfBody
 from winchdyke.membership.agent import MembershipAgent
 from winchdyke.membership.errors import MembershipError
 from winchdyke.object_api import store_protocol
@@ -167,11 +167,9 @@
         await connection.stream.send(
             codec.request("GET", store_protocol.IDENTITY_PATH, headers) + codec.end()
         )
-        while isinstance(head := codec.head(), NeedData):
-            codec.feed(await connection.stream.receive())
-        while not isinstance(chunk := codec.body(), EndOfBody):
-            if isinstance(chunk, NeedData):
-                codec.feed(await connection.stream.receive())
+        head = await connection.read_head()
+        while not isinstance(await connection.read_body_chunk(), EndOfBody):
+            pass
         evidence = store_protocol.read_report(head).evidence or EndpointEvidence()
         if not self.discovery.record_response(connection.endpoint, evidence):
             raise ConnectError(
--- a/winchdyke/gateway/pool.py
+++ b/winchdyke/gateway/pool.py
@@ -11,9 +11,11 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from winchdyke.http1 import ClientCodec, ProtocolError
+from winchdyke.http1 import Bytes, ClientCodec, EndOfBody, NeedData, ProtocolError, ResponseHead
+from winchdyke.peer_limits.task_turns import TaskTurns
 
 RESOURCE_EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+RECEIVE_BYTES = 256 * 1024  # the transport's read size; a smaller one would copy each read in pieces
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 # On a busy host, the identity check may take longer than connecting: the store's process answers the check, the kernel
 # accepts the connection.
@@ -40,17 +42,19 @@
         endpoint: Address of the store.
         stream: The socket.
         codec: HTTP parser and serializer of the connection.
+        turns: The connection's part of the event loop's work.
         exchanges: Completed exchanges.
         idle_since_ms: When the last exchange ended.
         on_close: Called as the connection is closed.
     """
 
-    __slots__ = ("_poll", "codec", "endpoint", "exchanges", "idle_since_ms", "on_close", "stream")
+    __slots__ = ("_poll", "codec", "endpoint", "exchanges", "idle_since_ms", "on_close", "stream", "turns")
 
     def __init__(self, endpoint: str, stream: SocketStream) -> None:
         self.endpoint = endpoint
         self.stream = stream
         self.codec = ClientCodec(MAX_RESPONSE_HEAD_BYTES)
+        self.turns = TaskTurns()
         self.exchanges = 0
         self.idle_since_ms = 0.0
         self.on_close: Callable[[Connection], None] = lambda _: None
@@ -67,6 +71,32 @@
         """Whether the store has closed its side, even if unread data is left."""
         return any(event & HANG_UP_EVENTS for _, event in self._poll.poll(0))
 
+    async def read_head(self) -> ResponseHead:
+        """Read the head of a response. Raises ProtocolError if it is malformed."""
+        while True:
+            await self.turns.wait()
+            head = self.codec.head()
+            self.turns.count(self.codec.work_units)
+            if not isinstance(head, NeedData):
+                return head
+            self.codec.feed(await self._receive())
+
+    async def read_body_chunk(self) -> Bytes | EndOfBody:
+        """Read the next part of a response's body. Raises ProtocolError if it is malformed."""
+        while True:
+            await self.turns.wait()
+            chunk = self.codec.body()
+            self.turns.count(self.codec.work_units)
+            if not isinstance(chunk, NeedData):
+                return chunk
+            self.codec.feed(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self.stream.receive(RECEIVE_BYTES)
+        except anyio.EndOfStream:
+            return b""  # the parser knows whether the response may end here
+
     async def close(self) -> None:
         """Close at once, also during an exchange."""
         self.on_close(self)
--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -127,7 +127,7 @@
         head = self.gate.take_head(self._parser.trailing_data[0])
         if head is None and not self._closed:
             return h11.NEED_DATA
-        self._pass(self.gate.take_all() if head is None else head)
+        self._pass(self.gate.take_body() if head is None else head)
         event = self._parser.next_event()
         if isinstance(event, (h11.Request, h11.Response)):
             self._start_body(event)
@@ -159,7 +159,7 @@
         if self._chunked:
             return self.gate.take_chunked(self._parser.trailing_data[0])
         if self._body_bytes_left is None:
-            return self.gate.take_all()
+            return self.gate.take_body()
         piece = self.gate.take_body(self._body_bytes_left)
         self._body_bytes_left -= len(piece)
         return piece
--- a/winchdyke/peer_limits/message_gate.py
+++ b/winchdyke/peer_limits/message_gate.py
@@ -16,6 +16,7 @@
 MAX_CHUNKED_PIECE_BYTES = (
     8 * 1024
 )  # passed to the parser at a time; one call may parse that many bytes of trailers
+MAX_PIECE_BYTES = 64 * 1024  # of a body that is not chunked
 MAX_EXCESS_FRAMING_BYTES = 16 * 1024  # of one chunked body, beyond what its payload allows
 FRAMING_BYTES_PER_PAYLOAD_BYTE = 2
 LINE_WORK_UNITS = 1
@@ -105,13 +106,9 @@
         self._passed_body_bytes = 0
         self._payload_bytes = 0
 
-    def take_all(self) -> bytes:
-        """Return all waiting bytes."""
-        return self._take(len(self._waiting))
-
-    def take_body(self, max_bytes: int) -> bytes:
-        """Return the next bytes of a body that is not chunked, up to ``max_bytes``."""
-        return self._take(max_bytes)
+    def take_body(self, max_bytes: int = MAX_PIECE_BYTES) -> bytes:
+        """Return the next bytes of a body that is not chunked, or of a head that can't be completed."""
+        return self._take(min(max_bytes, MAX_PIECE_BYTES))
 
     def take_chunked(self, in_parser: bytes) -> bytes:
         """Return the next bytes of a chunked body.
--- a/winchdyke/s3/body.py
+++ b/winchdyke/s3/body.py
@@ -19,6 +19,7 @@
     AuthError,
     ChunkSignatureChain,
 )
+from winchdyke.peer_limits.message_gate import FRAMING_BYTES_PER_PAYLOAD_BYTE, MAX_EXCESS_FRAMING_BYTES
 from winchdyke.s3 import checksums
 from winchdyke.s3.errors import S3Error
 
@@ -58,6 +59,7 @@
         self._undecoded = bytearray()
         self._held = b""
         self._received = 0
+        self._encoded_bytes = 0  # of an aws-chunked body, with its framing
         self._chunk_remaining = 0  # bytes of the current chunk that have not been received
         self._chunk_signature = ""
         self._state = "chunk header" if expected.aws_chunked else "identity"
@@ -87,8 +89,16 @@
                 out.append(self._accept(piece[0])) if piece[0] else None
         except AuthError as error:
             raise S3Error(error.code, error.text, error.status) from error
+        self._check_framing(len(data))
         return b"".join(out)
 
+    def _check_framing(self, encoded_bytes: int) -> None:
+        """Reject chunks whose framing outweighs their payload; the work for a chunk does not depend on its size."""
+        self._encoded_bytes += encoded_bytes
+        framing_bytes = self._encoded_bytes - len(self._undecoded) - self._received
+        if framing_bytes > MAX_EXCESS_FRAMING_BYTES + FRAMING_BYTES_PER_PAYLOAD_BYTE * self._received:
+            raise S3Error("InvalidChunkSizeError", "the framing of the chunks outweighs their payload", 400)
+
     def _accept(self, data: bytes) -> bytes:
         self._received += len(data)
         length = self.expected.length
