--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -24,7 +24,7 @@
 # The limit on data discarded in the LINGERING state, or between two timeout checks while a response is pending.
 MAX_DISCARDED_BYTES = 1024 * 1024
 ERROR_HEAD_BYTES = 1024
-REJECT_UNITS = 20  # work of an error response, in units of the turn budget
+RESPONSE_UNITS = 20  # work of writing a response, in units of the turn budget
 READY_BODY = b"ready\n"
 
 
@@ -299,7 +299,7 @@
     def reject(self, status: int, reason: str, text: str) -> None:
         """Respond with an error, then linger so that the client can read it before the connection closes."""
         self._connections.counts[reason] += 1
-        self._connections.turn_budget.spend(REJECT_UNITS)
+        self._connections.turn_budget.spend(RESPONSE_UNITS)
         self.on_disconnect = None
         self._drop_input()
         try:
@@ -327,6 +327,7 @@
         codec = self._reader.codec
         payload = codec.response_head(status, headers) + (codec.data(body) if body else b"") + codec.end()
         self.move_to(ConnectionState.WRITING_RESPONSE)
+        self._connections.turn_budget.spend(RESPONSE_UNITS)
         self._payload_bytes = len(payload)
         self._write(memoryview(payload))
         self._update_charge()
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -120,7 +120,7 @@
         clients = ClientConnections(
             self.loop, self.clock, parser, self._accept_request, self.memory, self.turn_budget
         )
-        clients.client_memory = ClientMemory(clients, self.memory.requests, self.memory.responses)
+        clients.client_memory = ClientMemory(clients, self.memory.requests)
         return clients
 
     def _accept_after_first_discovery_response(self) -> None:
