--- a/winchdyke/platform/client_memory.py
+++ b/winchdyke/platform/client_memory.py
@@ -27,12 +27,9 @@
     for their memory.
     """
 
-    def __init__(
-        self, connections: ClientConnections, requests: MemoryAccount, responses: MemoryAccount
-    ) -> None:
+    def __init__(self, connections: ClientConnections, requests: MemoryAccount) -> None:
         self._connections = connections
         self._requests = requests
-        self._responses = responses
         # Both in the order in which they began to wait.
         self._waiting_for_first_read: dict[ClientConnection, None] = {}
         self._waiting: dict[ClientConnection, None] = {}
