--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -155,7 +155,7 @@
             self._pass(piece)
             self._parser_is_empty = False
 
-    def _next_piece(self) -> bytes:
+    def _next_piece(self) -> Bytes:
         if self._chunked:
             return self.gate.take_chunked(self._parser.trailing_data[0])
         if self._body_bytes_left is None:
@@ -170,9 +170,9 @@
         elif isinstance(event, h11.EndOfMessage):
             self.gate.count_trailers(len(list(event.headers)))
 
-    def _pass(self, data: bytes) -> None:
+    def _pass(self, data: Bytes) -> None:
         if data:
-            self._parser.receive_data(data)
+            self._parser.receive_data(data)  # type: ignore[arg-type]
         if self._closed and not self._parser_knows_close and not self.gate.waiting_bytes:
             self._parser_knows_close = True
             self._parser.receive_data(b"")
--- a/winchdyke/peer_limits/message_gate.py
+++ b/winchdyke/peer_limits/message_gate.py
@@ -13,10 +13,10 @@
 MAX_HEAD_LINES = (
     128  # of all heads of one message: interim responses and the final head; also of its trailers
 )
-MAX_CHUNKED_PIECE_BYTES = (
-    8 * 1024
-)  # passed to the parser at a time; one call may parse that many bytes of trailers
-MAX_PIECE_BYTES = 64 * 1024  # of a body that is not chunked
+MAX_PIECE_BYTES = 256 * 1024  # of a body, passed to the parser at a time
+# A piece with more lines may be full of trailers, which the parser takes apart in one call; less of it is passed then.
+MAX_LINES_IN_LARGE_PIECE = 1024
+MAX_CHUNKED_PIECE_BYTES = 8 * 1024
 MAX_EXCESS_FRAMING_BYTES = 16 * 1024  # of one chunked body, beyond what its payload allows
 FRAMING_BYTES_PER_PAYLOAD_BYTE = 2
 LINE_WORK_UNITS = 1
@@ -73,7 +73,7 @@
         self._waiting = bytearray()
         self._searched_bytes = 0
 
-    def take_head(self, in_parser: bytes) -> bytes | None:
+    def take_head(self, in_parser: bytes) -> bytes | bytearray | None:
         """Return the rest of the next head, or None if it is incomplete.
 
         ``in_parser`` is the part of it that the parser has already. Raises FramingLimitError if the head exceeds the
@@ -106,11 +106,11 @@
         self._passed_body_bytes = 0
         self._payload_bytes = 0
 
-    def take_body(self, max_bytes: int = MAX_PIECE_BYTES) -> bytes:
+    def take_body(self, max_bytes: int = MAX_PIECE_BYTES) -> bytes | bytearray:
         """Return the next bytes of a body that is not chunked, or of a head that can't be completed."""
         return self._take(min(max_bytes, MAX_PIECE_BYTES))
 
-    def take_chunked(self, in_parser: bytes) -> bytes:
+    def take_chunked(self, in_parser: bytes) -> bytes | bytearray:
         """Return the next bytes of a chunked body.
 
         ``in_parser`` are the bytes that the parser has and can't use yet. Raises FramingLimitError if the framing outweighs
@@ -126,7 +126,8 @@
             raise FramingLimitError(
                 f"{framing_bytes} bytes frame a body of {self._payload_bytes} bytes", in_head=False
             )
-        piece = self._take(MAX_CHUNKED_PIECE_BYTES)
+        has_many_lines = self._waiting.count(b"\n") > MAX_LINES_IN_LARGE_PIECE
+        piece = self._take(MAX_CHUNKED_PIECE_BYTES if has_many_lines else MAX_PIECE_BYTES)
         self._passed_body_bytes += len(piece)
         return piece
 
@@ -139,7 +140,11 @@
         """Count the end of a body with its trailers."""
         self.work_units += EVENT_WORK_UNITS + lines * LINE_WORK_UNITS
 
-    def _take(self, max_bytes: int) -> bytes:
-        taken = bytes(self._waiting[:max_bytes])
+    def _take(self, max_bytes: int) -> bytes | bytearray:
+        if len(self._waiting) <= max_bytes:
+            taken = self._waiting
+            self._waiting = bytearray()
+            return taken
+        taken = self._waiting[:max_bytes]
         del self._waiting[:max_bytes]
         return taken
