Fail the largest incomplete response when the memory for responses is full

Seen by callers: beside stores that stop within their responses, a request whose store sends a sound response of 50 KB in two pieces was answered with 503.

Cause: once the responses exceeded their account, the one that had just grown failed, whichever it was, so that those that had stopped kept the memory for as long as their deadlines.

Change: the responses that are being read are registered; over the limit the largest of them fails, after clients that do not read. Operators see the log event response_memory_full and the counter store:responses_evicted. The log of a full account stands once, in peer_memory.py.

Why it works: small responses, which are most, are no longer the ones that pay, and what holds most is let go first.

Measured: the new test got 503 on the code before and passes now; tests/test_peer_memory.py and tests/test_turn_budget.py pass.

--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -221,3 +221,39 @@
             await wait_until(lambda: memory.buffered_bytes == 0)
 
     asyncio.run(scenario())
+
+
+def test_responses_that_stop_halfway_do_not_fail_a_smaller_one_that_goes_on(tmp_path):
+    # Guards against stores that stop within their responses and take the memory until sound responses fail.
+    piece, rest = b"y" * 30_000, b"z" * 20_000
+    memory_exceeded = asyncio.Event()
+
+    async def respond(writer: asyncio.StreamWriter, head: bytes, number: int) -> None:
+        if b"req-kind: write" in head.lower():
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 64000\r\n\r\n" + b"x" * 60_000)
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n" + piece)
+        await memory_exceeded.wait()
+        writer.write(rest)
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path, respond) as harness:
+            pool = harness.gateway.upstream_pool
+            account = pool.response_memory.account
+            account.limit_bytes = 200_000
+            writers = []
+            for _ in range(3):
+                _, writer = await harness.connect_client()
+                writer.write(harness.build_request(**{"Req-Kind": "write", "Req-Deadline-Ms": "9000"}))
+                writers.append(writer)
+            await wait_until(lambda: account.used_bytes == 180_000)
+            sound = asyncio.create_task(harness.send_request(**{"Req-Deadline-Ms": "9000"}))
+            await wait_until(lambda: account.max_used_bytes > 200_000)
+            memory_exceeded.set()
+            assert (await sound)[::2] == (200, piece + rest)
+            assert pool.counts["responses_evicted"] > 0
+            assert account.max_used_bytes <= 200_000 + sockets.MAX_RECEIVE_BYTES
+            for writer in writers:
+                writer.close()
+
+    asyncio.run(scenario())
--- a/winchdyke/platform/client_memory.py
+++ b/winchdyke/platform/client_memory.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import structlog
-
 from winchdyke.peer_limits.memory_account import MemoryAccount
 from winchdyke.platform import sockets
 from winchdyke.platform.client_connection import ClientConnection, ConnectionState
 from winchdyke.platform.client_connections import ClientConnections
+from winchdyke.platform.peer_memory import MemoryFullLog
 
 MIN_READ_BYTES = 4 * 1024  # nothing is read while less is available; holds any usual request without a body
 # Part of the memory that is left to clients of which nothing was read yet, so that small requests never wait.
@@ -16,7 +15,6 @@
 INCOMPLETE_REQUEST_GRACE_MS = 150.0
 WRITING_GRACE_MS = 1000.0  # time for a client to read its response while others need the memory
 RESUMED_READ_BYTES = 16 * 1024  # what a client is expected to send after its wait
-LOG_INTERVAL_MS = 10_000.0
 
 
 class ClientMemory:
@@ -33,8 +31,12 @@
         # Both in the order in which they began to wait.
         self._waiting_for_first_read: dict[ClientConnection, None] = {}
         self._waiting: dict[ClientConnection, None] = {}
-        self._logged_at_ms = float("-inf")
-        self._log = structlog.get_logger("gateway")
+        self._full_log = MemoryFullLog(
+            "request_memory_full",
+            requests,
+            connections.clock,
+            "clients wait to be read; the oldest incomplete requests are rejected",
+        )
 
     def readable_bytes(self, connection: ClientConnection) -> int:
         """Return how many bytes may be read from a client now; 0 if it has to wait."""
@@ -62,7 +64,7 @@
         waiting = self._waiting if connection.holds_request_data else self._waiting_for_first_read
         waiting[connection] = None
         self._connections.counts["waits_for_memory"] += 1
-        self._log_full()
+        self._full_log.write(self._connections.count)
         self.make_room()
 
     def is_waiting(self, connection: ClientConnection) -> bool:
@@ -124,15 +126,3 @@
             connection.close()
             return True
         return False
-
-    def _log_full(self) -> None:
-        now_ms = self._connections.clock()
-        if now_ms - self._logged_at_ms >= LOG_INTERVAL_MS:
-            self._logged_at_ms = now_ms
-            self._log.warning(
-                "request_memory_full",
-                used_bytes=self._requests.used_bytes,
-                limit_bytes=self._requests.limit_bytes,
-                connections=self._connections.count,
-                reason="clients wait to be read; the oldest incomplete requests are rejected",
-            )
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -23,7 +23,7 @@
 from winchdyke.platform.discovery_protocol import EndpointListError, EndpointListing, parse_endpoint_list
 from winchdyke.platform.endpoint_directory import EndpointDirectory
 from winchdyke.platform.maintenance import Maintenance, memory_mb
-from winchdyke.platform.peer_memory import PeerMemory
+from winchdyke.platform.peer_memory import MemoryFullLog, PeerMemory
 from winchdyke.platform.request_forwarding import RequestForwarder
 from winchdyke.platform.shutdown_sequence import ShutdownSequence
 from winchdyke.platform.upstream_pool import UpstreamPool
@@ -111,10 +111,17 @@
             environment.store_idle_timeout_ms,
             max_connections,
             environment.load_report_fields,
-            ResponseMemory(self.memory.max_response_body_bytes, self.memory.responses),
+            self._make_response_memory(),
             self.turn_budget,
         )
 
+    def _make_response_memory(self) -> ResponseMemory:
+        memory = ResponseMemory(self.memory.max_response_body_bytes, self.memory.responses)
+        reason = "the largest incomplete responses fail"
+        full_log = MemoryFullLog("response_memory_full", self.memory.responses, self.clock, reason)
+        memory.on_full = lambda: full_log.write(len(self.upstream_pool.connections))
+        return memory
+
     def _make_clients(self) -> ClientConnections:
         parser = protocol.RequestParser(self.environment.settings, self.memory.max_request_body_bytes)
         clients = ClientConnections(
--- a/winchdyke/platform/upstream_attempt.py
+++ b/winchdyke/platform/upstream_attempt.py
@@ -100,7 +100,7 @@
         self.finished = False
         self.body = b""
         self._connection: UpstreamConnection | None = None
-        self._response = ResponseReader(pool.response_memory, pool.load_report_fields)
+        self._response = ResponseReader(pool.response_memory, pool.load_report_fields, self._on_evicted)
         self._deadline = AttemptDeadline(pool.loop)
         self._unsent: memoryview | None = None
         self._last_byte_at_ms = 0.0
@@ -210,6 +210,8 @@
         except MalformedResponseError as error:
             self._fail_malformed(error.reason)
             return False
+        if self.finished:
+            return False  # evicted for the memory of other responses
         self._has_unparsed = progress is ResponseProgress.HAS_MORE_WORK
         if progress is ResponseProgress.COMPLETE:
             self._on_response()
@@ -224,6 +226,10 @@
             return False
         return True
 
+    def _on_evicted(self) -> None:
+        self._pool.counts["responses_evicted"] += 1
+        self._finish(AttemptResult(AttemptOutcome.CONNECTION_RESET))
+
     def _on_response(self) -> None:
         result = self._response.result
         assert result is not None
--- a/winchdyke/platform/upstream_response.py
+++ b/winchdyke/platform/upstream_response.py
@@ -33,30 +33,47 @@
     """Limits the memory of one response, and of all responses that are being read or written to clients.
 
     A response is read completely before any of it is forwarded. Stores sometimes exceed the protocol's 64
-    KiB, so the limits depend on the machine's memory.
+    KiB, so the limits depend on the machine's memory. Over the limit of all, slow clients are closed first, then the
+    largest incomplete response fails: small ones, which are most, are still read.
 
     Attributes:
         max_response_bytes: The limit on the body of one response.
         account: The memory of all responses.
         make_room: Called while the account is over its limit; returns whether it released memory of another response.
+        on_full: Called if a response has to end for the memory of others.
     """
 
     def __init__(self, max_response_bytes: int, account: MemoryAccount) -> None:
         self.max_response_bytes = max_response_bytes
         self.account = account
+        self.on_full: Callable[[], None] = lambda: None
         self.make_room: Callable[[], bool] = lambda: False
+        self._incomplete: dict[ResponseReader, None] = {}  # in the order in which they began
 
     @property
     def buffered_bytes(self) -> int:
         """The memory of all responses now."""
         return self.account.used_bytes
 
-    def is_exceeded(self) -> bool:
-        """Return whether the responses exceed their memory even after room was made."""
+    def add(self, reader: ResponseReader) -> None:
+        """Register a response of which a part was read."""
+        self._incomplete[reader] = None
+
+    def remove(self, reader: ResponseReader) -> None:
+        """Remove a response that has ended."""
+        self._incomplete.pop(reader, None)
+
+    def enforce_limit(self) -> None:
+        """Release memory until the account is within its limit, as far as that is possible."""
         while self.account.used_bytes > self.account.limit_bytes:
-            if not self.make_room():
-                return True
-        return False
+            if self.make_room():
+                continue
+            largest = max(self._incomplete, key=lambda reader: reader.held_bytes, default=None)
+            if largest is None:
+                return
+            self.on_full()
+            self.remove(largest)
+            largest.on_evicted()
 
 
 class ResponseReader:
@@ -64,6 +81,7 @@
 
     Attributes:
         close_delimited: Whether the head gives no length; the body then ends with an orderly close.
+        on_evicted: Called if the response has to end before it is complete, to release its memory.
         result: What the head says of the attempt; None until it was read. The head itself is not kept.
     """
 
@@ -74,10 +92,17 @@
         "_memory",
         "_received_bytes",
         "close_delimited",
+        "on_evicted",
         "result",
     )
 
-    def __init__(self, memory: ResponseMemory, load_report_fields: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        memory: ResponseMemory,
+        load_report_fields: tuple[str, ...],
+        on_evicted: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.on_evicted = on_evicted
         self._memory = memory
         self._load_report_fields = load_report_fields
         self._charge = MemoryCharge(memory.account)
@@ -91,6 +116,11 @@
         """The part of the body that was read so far."""
         return bytes(self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that is charged for the response."""
+        return self._charge.held_bytes
+
     @property
     def exceeds_wire_limit(self) -> bool:
         """Whether more bytes were received than a body of the permitted size can take with its framing."""
@@ -104,19 +134,22 @@
     def read(self, codec: ClientCodec, max_work_units: int) -> ResponseProgress:
         """Parse the received bytes until the response is complete, or until ``max_work_units`` of work are done.
 
-        Raises MalformedResponseError if the response must not be forwarded.
+        Raises MalformedResponseError if the response must not be forwarded. Calls ``on_evicted`` if all responses
+        exceed their memory and this one is the largest.
         """
         try:
             progress = self._parse(codec, max_work_units)
         except ProtocolError as error:
             raise MalformedResponseError("framing" if error.reason == "store-framing" else "http") from error
         self._charge.set(codec.buffered_bytes + len(self._body))
-        if progress is not ResponseProgress.COMPLETE and self._memory.is_exceeded():
-            raise MalformedResponseError("too-large")
+        if progress is not ResponseProgress.COMPLETE:
+            self._memory.add(self)
+            self._memory.enforce_limit()
         return progress
 
     def release(self) -> None:
         """Release the memory of the response."""
+        self._memory.remove(self)
         self._charge.set(0)
 
     def _parse(self, codec: ClientCodec, max_work_units: int) -> ResponseProgress:
