Let the test of a faulty scheduler find the cold start however slowly the host sends

Cause: whether the cold store is overloaded depended on the rate at which the host sends.

Change: the store is so cold, and its window so long, that the tenth unit is too much for it; the list that tells the gateway of the cold start is awaited; of each eight requests, sent at the same time, two share an ordered key.

--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -331,7 +331,11 @@
 
 def test_each_rule_that_a_faulty_scheduler_violates_is_detected():
     """Over sockets, with a scheduler that ignores lost answers, a drain, a cold start, order keys and a limit."""
-    rules = Rules(drain_grace=100.0, cold_from=0.1, warm_after=5000.0, fall_window=300.0, settle=100.0)
+    # So cold and for so long that the tenth unit is too much for the cold store, however slowly this host sends.
+    cold_capacity, warm_up_ms, window_ms = 0.001, 1e9, 30_000.0
+    rules = Rules(
+        drain_grace=100.0, cold_from=cold_capacity, warm_after=warm_up_ms, fall_window=window_ms, settle=100.0
+    )
     scenario = msgspec.structs.replace(
         SCENARIO, rules=rules, volumes=[Volume("plain", "basic", list(range(8)), [0], 1.0)]
     )
@@ -346,9 +350,9 @@
             config,
             make_scheduler_loop=faulty_loop,
             unit_ms=30.0,
-            cold_start_capacity=0.1,
-            warm_up_ms=5000.0,
-            overload_window_ms=300.0,
+            cold_start_capacity=cold_capacity,
+            warm_up_ms=warm_up_ms,
+            overload_window_ms=window_ms,
         ) as it:
             # Otherwise the gateway would stop sending when the store itself reports its drain.
             it.gateway.pool.verify_identity = None
@@ -359,13 +363,21 @@
             await anyio.sleep(0.05)
             await cold.start(it.group, cold=True)
             await it.list.set(cold.name, "ready", 1, "hall-a", 1e12)
+            await it.wait_until(
+                lambda: any(
+                    entry["what"] == "told" and entry["starts"].get(cold.name) for entry in it.record.entries
+                )
+            )
             await anyio.sleep(0.3)
-            # A quarter of the requests goes to the cold node, regardless of how fast this host sends.
+            # A quarter of the requests goes to the cold node. Of each eight, which are sent at the same time, two share a
+            # key of the class whose requests keep their order, so that they overlap however slow this host is.
             cold_keys = [key for key in map(str, range(400)) if shard_of("plain", key, range(8)) == 1]
-            key_of = lambda n: cold_keys[n % 20] if n % 4 == 1 else f"k{n % 40}"  # noqa: E731
+            shared_key_of = lambda n: f"k{n // 8}" if n % 4 == 3 else f"k{n % 40}"  # noqa: E731
+            key_of = lambda n: cold_keys[n % 20] if n % 4 == 1 else shared_key_of(n)  # noqa: E731
             requests = [
                 PlannedRequest(
-                    at=3.0 * n, gateway=0, method="PUT", path=f"/plain/{key_of(n)}", size=64, class_name=("once", "turns")[n % 2],
+                    at=24.0 * (n // 8), gateway=0, method="PUT", path=f"/plain/{key_of(n)}", size=64,
+                    class_name=("once", "turns")[n % 2],
                     patience=900.0, deadline=900.0, has_idempotency_key=bool(n % 2), max_tries=1,
                 )
                 for n in range(240)
