Decode uploads in S3's own chunks from a turn's budget, and bound signed chunks in sum

A read of an aws-chunked body was decoded in one turn of the event loop, however many chunks it held, and signed chunks of up to 16 MiB were buffered for each connection without a bound in sum.

Change: VerifiedBodyReader decodes 64 units at a time from the budget that all peers share, and charges what is buffered beyond 1 MiB to an account of 256 MiB; over it, the upload gets SlowDown. The reader stands in a module of its own in place of a nested function in s3/service.py.

Why it works: the work of a turn no longer depends on what the chunks are; memory follows from the account and the number of connections at 1 MiB each.

--- a/winchdyke/s3/body.py
+++ b/winchdyke/s3/body.py
@@ -26,6 +26,9 @@
 MAX_LINE_BYTES = 8 * 1024  # chunk headers and trailer lines
 MAX_SIGNED_CHUNK_BYTES = 16 << 20  # a signed chunk is buffered until its signature is verified
 MAX_TRAILERS = 16
+# In units of the turn budget: a chunk header, its data, the end of a chunk, or a line of trailers.
+ELEMENT_WORK_UNITS = 1
+HASHED_BYTES_PER_UNIT = 4 * 1024
 _CHUNK_HEADER = re.compile(rb"([0-9a-fA-F]{1,12})(?:;chunk-signature=([0-9a-f]{64}))?")
 _TRAILER_LINE = re.compile(r"([a-z0-9-]{1,64}):(.{0,4096})")
 
@@ -52,13 +55,21 @@
 
 
 class BodyVerifier:
-    """Decodes and verifies a body incrementally, and returns the bytes that may be forwarded to the store."""
+    """Decodes and verifies a body incrementally, and returns the bytes that may be forwarded to the store.
+
+    Attributes:
+        work_units: Work so far, in units of the turn budget.
+        has_more_work: Whether bytes were added that :meth:`decode` has not processed.
+    """
 
     def __init__(self, expected: ExpectedBody) -> None:
         self.expected = expected
+        self._plain: list[bytes | bytearray] = []  # added bytes of a body that is not aws-chunked
         self._undecoded = bytearray()
         self._held = b""
         self._received = 0
+        self.work_units = 0
+        self.has_more_work = False
         self._encoded_bytes = 0  # of an aws-chunked body, with its framing
         self._chunk_remaining = 0  # bytes of the current chunk that have not been received
         self._chunk_signature = ""
@@ -74,33 +85,62 @@
         if self._signed_chunks and expected.signature_chain is None:
             raise S3Error("AccessDenied", "a body in signed chunks requires a signed request")
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes that are not decoded yet, as of an incomplete signed chunk, and those held back."""
+        return len(self._undecoded) + len(self._held)
+
+    def add(self, data: bytes | bytearray) -> None:
+        """Adds bytes of the body as sent by the client."""
+        self.has_more_work = bool(data)
+        if self._state == "identity":
+            self._plain.append(data)
+            return
+        self._encoded_bytes += len(data)
+        self._undecoded += data
+
     def feed(self, data: bytes | bytearray) -> bytes:
-        """Processes bytes of the body as sent by the client, and returns the bytes that may be forwarded.
+        """Adds bytes and decodes all of them; see :meth:`decode`."""
+        self.add(data)
+        return self.decode()
+
+    def decode(self, max_work_units: float = float("inf")) -> bytes:
+        """Processes the bytes that were added, until ``max_work_units`` of work are done.
+
+        Returns the bytes that may be forwarded.
 
         Raises:
             S3Error: The body is malformed or longer than declared, or the signature of a chunk is wrong.
         """
+        self.has_more_work = False
         if self._state == "identity":
-            return self._accept(bytes(data))
-        self._undecoded += data
+            data = b"".join(self._plain)
+            self._plain.clear()
+            return self._accept(data)
+        last_work_units = self.work_units + max_work_units
         out = []
         try:
             while piece := self._next_piece():
-                out.append(self._accept(piece[0])) if piece[0] else None
+                self.work_units += ELEMENT_WORK_UNITS
+                if piece[0]:
+                    out.append(self._accept(piece[0]))
+                if self.work_units >= last_work_units:
+                    self.has_more_work = True
+                    break
         except AuthError as error:
             raise S3Error(error.code, error.text, error.status) from error
-        self._check_framing(len(data))
+        self._check_framing()
         return b"".join(out)
 
-    def _check_framing(self, encoded_bytes: int) -> None:
+    def _check_framing(self) -> None:
         """Reject chunks whose framing outweighs their payload; the work for a chunk does not depend on its size."""
-        self._encoded_bytes += encoded_bytes
         framing_bytes = self._encoded_bytes - len(self._undecoded) - self._received
         if framing_bytes > MAX_EXCESS_FRAMING_BYTES + FRAMING_BYTES_PER_PAYLOAD_BYTE * self._received:
             raise S3Error("InvalidChunkSizeError", "the framing of the chunks outweighs their payload", 400)
 
     def _accept(self, data: bytes) -> bytes:
         self._received += len(data)
+        self.work_units += len(data) // HASHED_BYTES_PER_UNIT
         length = self.expected.length
         if length is not None and self._received > length:
             raise S3Error(
--- a/winchdyke/s3/service.py
+++ b/winchdyke/s3/service.py
@@ -32,8 +32,10 @@
 from winchdyke.object_api import listing as native
 from winchdyke.object_api import ranges, routes, store_protocol
 from winchdyke.object_api.answers import RequestError
+from winchdyke.peer_limits.memory_account import MemoryAccount
 from winchdyke.s3 import checksums, listing, multipart, requests, xml
 from winchdyke.s3.body import AWS_CHUNKED_PAYLOADS, BodyVerifier, ExpectedBody
+from winchdyke.s3.body_reader import MAX_BUFFERED_CHUNKS_BYTES, BodyVerificationError, VerifiedBodyReader
 from winchdyke.s3.errors import S3Error, from_final_response
 from winchdyke.s3.lanes import KeyQueues
 from winchdyke.s3.requests import ParsedRequest
@@ -140,6 +142,7 @@
         access_keys: The access keys; None: no key file is configured.
         part_queues: Limits the concurrent parts of each upload, by upload id.
         range_queues: Limits the concurrent range reads of each object, by bucket and key.
+        chunk_memory: The memory of all large signed chunks that are being received.
     """
 
     def __init__(
@@ -154,6 +157,7 @@
             KeyQueues(settings.parts_at_once),
             KeyQueues(settings.ranges_at_once),
         )
+        self.chunk_memory = MemoryAccount(MAX_BUFFERED_CHUNKS_BYTES)
         self._upload_volumes: set[str] = set()  # volumes with multipart uploads since this gateway started
         self._log = structlog.get_logger("s3")
 
@@ -194,6 +198,7 @@
         finally:
             service.active_requests -= 1
             connection.on_disconnect = None
+            handler.release()
             handler.report_end()
 
     async def run(self) -> None:
@@ -268,6 +273,7 @@
         code: The S3 error code; empty: none.
         who: The owner of the access key, for the access log.
         deadline: The deadline of all operations, on the service's clock; set by the first one.
+        body_reader: Reads the request's body; None if it has none or is not read.
     """
 
     def __init__(
@@ -283,6 +289,7 @@
         self.record = AccessLogRecord(config_version=self.snapshot.version)
         self.outcome, self.code, self.who = "served", "", ""
         self.deadline = float("inf")
+        self.body_reader: VerifiedBodyReader | None = None
 
     async def run(self) -> None:
         """Authorizes the request, and responds to it."""
@@ -293,6 +300,11 @@
         handle: Callable[[ParsedRequest], Awaitable[None]] = getattr(self, "_" + parsed.operation.name)
         await handle(parsed)
 
+    def release(self) -> None:
+        """Releases the memory of the request's body."""
+        if self.body_reader is not None:
+            self.body_reader.release()
+
     def report_end(self) -> None:
         """Reports the finished request to the service's callback and the access log."""
         parsed = self.parsed
@@ -526,26 +538,14 @@
                 algorithm = trailer_name.strip().lower().removeprefix(checksums.PREFIX)
                 self._check_algorithm(algorithm)
                 expected.checksum_values[algorithm] = None
-        body = BodyVerifier(expected)
-        max_bytes, received, finished = self.service.config.limits.object_bytes, 0, False
-
-        async def read() -> bytes:
-            nonlocal received, finished
-            while not finished:
-                data = await self.connection.read_body()
-                received += len(data)
-                if received > max_bytes + max_bytes // 8:
-                    raise ProtocolError(413, "too-large", f"the object is larger than {max_bytes} bytes")
-                try:
-                    ready = body.feed(data) if data else body.finish()
-                except S3Error as error:
-                    raise _BodyVerificationError(error) from error
-                finished = not data
-                if ready:
-                    return ready
-            return b""
-
-        return BodySource(read, expected.length), body
+        verifier = BodyVerifier(expected)
+        self.body_reader = VerifiedBodyReader(
+            self.connection.read_body,
+            verifier,
+            self.service.config.limits.object_bytes,
+            self.s3.chunk_memory,
+        )
+        return BodySource(self.body_reader.read, expected.length), verifier
 
     @staticmethod
     def _check_algorithm(algorithm: str) -> None:
@@ -681,7 +681,7 @@
         async def read_recording_errors() -> Bytes:
             try:
                 return await read()
-            except _BodyVerificationError as error:
+            except BodyVerificationError as error:
                 errors.append(error.error)
                 raise
 
@@ -1052,18 +1052,10 @@
 }  # fmt: skip
 
 
-class _BodyVerificationError(ProtocolError):
-    """The client's body failed verification. Aborts the request to the store."""
-
-    def __init__(self, error: S3Error) -> None:
-        super().__init__(error.status, "body-cut", error.text)
-        self.error = error
-
-
 async def _read_unwrapped(read: Callable[[], Awaitable[Bytes]]) -> Bytes:
     try:
         return await read()
-    except _BodyVerificationError as error:
+    except BodyVerificationError as error:
         raise error.error from None
 
 
