Word the comments on peers' limits as sentences

Need: constants with a comment in brackets, comments that begin in the middle of a sentence, and one that told how a value was measured.

--- a/winchdyke/http1.py
+++ b/winchdyke/http1.py
@@ -95,9 +95,8 @@
         self.gate = MessageGate(max_head_bytes)
         self._parser = parser
         self._chunked = False
-        self._body_bytes_left: int | None = (
-            None  # bytes of a body with a length that the parser was not given yet
-        )
+        # The bytes that the parser was not given yet of a body with a length; None if it has no length.
+        self._body_bytes_left: int | None = None
         self._parser_is_empty = True  # it can't continue without more bytes
         self._closed = False
         self._parser_knows_close = False
--- a/winchdyke/peer_limits/message_gate.py
+++ b/winchdyke/peer_limits/message_gate.py
@@ -10,14 +10,14 @@
 
 import re
 
-MAX_HEAD_LINES = (
-    128  # of all heads of one message: interim responses and the final head; also of its trailers
-)
-MAX_PIECE_BYTES = 256 * 1024  # of a body, passed to the parser at a time
+# The lines of all heads of one message, interim responses included; its trailers have the same limit.
+MAX_HEAD_LINES = 128
+MAX_PIECE_BYTES = 256 * 1024  # the part of a body that is passed to the parser at a time
 # A piece with more lines may be full of trailers, which the parser takes apart in one call; less of it is passed then.
 MAX_LINES_IN_LARGE_PIECE = 1024
 MAX_CHUNKED_PIECE_BYTES = 8 * 1024
-MAX_EXCESS_FRAMING_BYTES = 16 * 1024  # of one chunked body, beyond what its payload allows
+# The framing of a chunked body may exceed FRAMING_BYTES_PER_PAYLOAD_BYTE times its payload by this.
+MAX_EXCESS_FRAMING_BYTES = 16 * 1024
 FRAMING_BYTES_PER_PAYLOAD_BYTE = 2
 LINE_WORK_UNITS = 1
 EVENT_WORK_UNITS = 2  # a parsed chunk costs about twice as much as a header line
--- a/winchdyke/peer_limits/turn_budget.py
+++ b/winchdyke/peer_limits/turn_budget.py
@@ -9,12 +9,12 @@
 
 from collections.abc import Callable
 
-# Units of work as counted by message_gate: about 5 microseconds each on the reference machine.
+# A unit is about the work of parsing one header line (message_gate).
 UNITS_PER_TURN = 1024
-# What one peer may use before others have had their turn; a usual request takes 15 to 20 units.
+# What one peer may use before the others continue; enough for a request without a long body.
 UNITS_PER_PEER = 64
 RECEIVED_BYTES_PER_UNIT = 4 * 1024
-RECEIVE_UNITS = 2  # for reading from a socket once
+RECEIVE_UNITS = 2  # the work of reading from a socket once
 
 
 def receive_units(received_bytes: int) -> int:
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -91,7 +91,7 @@
         self._payload_charge = MemoryCharge(connections.memory.responses)
         self._has_unparsed = False  # received bytes wait for a later turn of the event loop
         self._is_readiness_check = False
-        self._payload_bytes = 0  # of the response that is being written
+        self._payload_bytes = 0  # the size of the response that is being written
         self._unsent: memoryview | None = None
         self._pipelined_bytes = 0
         self._pipeline_overflowed = False
@@ -150,7 +150,7 @@
     def _readable_bytes(self) -> int:
         """Return how many bytes to read now; 0 if the connection has to wait for memory."""
         if self.state not in RECEIVING_STATES:
-            return sockets.MAX_RECEIVE_BYTES  # what is not buffered is discarded
+            return sockets.MAX_RECEIVE_BYTES  # data that can't be buffered is discarded
         max_bytes = self._connections.client_memory.readable_bytes(self)
         if not max_bytes:
             self._pause_reading()
--- a/winchdyke/platform/client_memory.py
+++ b/winchdyke/platform/client_memory.py
@@ -14,7 +14,7 @@
 # Clients send a request at once or nearly so; one that is incomplete for longer makes room for others.
 INCOMPLETE_REQUEST_GRACE_MS = 150.0
 WRITING_GRACE_MS = 1000.0  # time for a client to read its response while others need the memory
-RESUMED_READ_BYTES = 16 * 1024  # what a client is expected to send after its wait
+RESUMED_READ_BYTES = 16 * 1024  # the expected size of the first read after a wait
 
 
 class ClientMemory:
