Move S3's sinks and what a request declares of its body out of s3/service.py

Change: s3/sinks.py holds the three sinks, unchanged; s3/declared_body.py, pure, reads the headers, one function for each kind. Errors, codes and texts are as before.

--- a/winchdyke/s3/service.py
+++ b/winchdyke/s3/service.py
@@ -34,107 +34,20 @@
 from winchdyke.object_api.answers import RequestError
 from winchdyke.peer_limits.memory_account import MemoryAccount
 from winchdyke.s3 import checksums, listing, multipart, requests, xml
-from winchdyke.s3.body import AWS_CHUNKED_PAYLOADS, BodyVerifier, ExpectedBody
+from winchdyke.s3.body import AWS_CHUNKED_PAYLOADS, BodyVerifier
 from winchdyke.s3.body_reader import MAX_BUFFERED_CHUNKS_BYTES, BodyVerificationError, VerifiedBodyReader
+from winchdyke.s3.declared_body import declared_body
 from winchdyke.s3.errors import S3Error, from_final_response
 from winchdyke.s3.lanes import KeyQueues
 from winchdyke.s3.requests import ParsedRequest
+from winchdyke.s3.sinks import BufferSink, CopyPipe, RelaySink
 
-MAX_BUFFERED_RESPONSE_BYTES = 16 << 20  # a list of an upload's parts, or a page of a listing
 MAX_CONCURRENT_DELETES = 8  # deletions at once for one DeleteObjects request
-PIPE_CAPACITY = 4  # chunks of a copy that have been read from the source and not yet written
 MAX_LISTING_ROUNDS = 64  # pages requested from the stores for one page of an S3 listing
 MAX_SWEEP_INTERVAL_S = 600.0  # time between searches for expired uploads
 ALL_RIGHTS = [Right("*", "", ["list", "read", "write", "delete"])]
 
 
-class BufferSink:
-    """Buffers a complete response up to a size limit; a larger one raises ClientDisconnectedError."""
-
-    def __init__(self, max_bytes: int = MAX_BUFFERED_RESPONSE_BYTES) -> None:
-        self.buffer, self._max_bytes, self.head = bytearray(), max_bytes, None
-
-    head: ResponseHead | None
-
-    async def begin_stream(self, head: ResponseHead) -> None:
-        """Stores the head."""
-        self.head = head
-
-    async def data(self, data: Bytes) -> None:
-        """Appends a chunk of the body."""
-        self.buffer += data
-        if len(self.buffer) > self._max_bytes:
-            raise ClientDisconnectedError
-
-    async def finish(self) -> None:
-        """Does nothing: the buffer is complete."""
-
-
-class RelaySink:
-    """Forwards a store's response to the client, with the response headers that the client overrides."""
-
-    def __init__(self, connection: ClientConnection, overrides: Headers) -> None:
-        self._connection, self._overrides = connection, overrides
-
-    def apply_overrides(self, head: ResponseHead) -> ResponseHead:
-        """The head with the client's overrides in place of the stored headers."""
-        overridden = {name for name, _ in self._overrides}
-        headers = [(name, value) for name, value in head.headers if name not in overridden] + self._overrides
-        return ResponseHead(head.status, headers, head.length)
-
-    async def begin_stream(self, head: ResponseHead) -> None:
-        """Forwards the head."""
-        await self._connection.begin_stream(self.apply_overrides(head))
-
-    async def data(self, data: Bytes) -> None:
-        """Forwards a chunk of the body."""
-        await self._connection.data(data)
-
-    async def finish(self) -> None:
-        """Finishes the response to the client."""
-        await self._connection.finish()
-
-
-class CopyPipe:
-    """Streams a response of one store into a request body for another."""
-
-    def __init__(self) -> None:
-        self._send, self._receive = anyio.create_memory_object_stream[bytes](PIPE_CAPACITY)
-        self.started, self.head = anyio.Event(), ResponseHead(0, [], None)
-        self.complete = False
-
-    async def begin_stream(self, head: ResponseHead) -> None:
-        """Stores the head of the source, and starts the stream."""
-        self.head = head
-        self.started.set()
-
-    async def data(self, data: Bytes) -> None:
-        """Adds a chunk; waits while the pipe is full."""
-        await self._send.send(bytes(data))
-
-    async def finish(self) -> None:
-        """Marks the source as complete."""
-        self.complete = True
-
-    def close(self) -> None:
-        """Ends the stream; incomplete unless finish() was called."""
-        self._send.close()
-        self.started.set()
-
-    async def read(self) -> bytes:
-        """The next chunk; empty at the end.
-
-        Raises:
-            ProtocolError: The source was cut off.
-        """
-        try:
-            return await self._receive.receive()
-        except anyio.EndOfStream:
-            if not self.complete:
-                raise ProtocolError(500, "body-cut", "the source of the copy was cut off") from None
-            return b""
-
-
 class S3Service:
     """The S3 service of one gateway.
 
@@ -498,46 +411,7 @@
 
     def _verified_body(self) -> tuple[BodySource, BodyVerifier]:
         """The source of the client's body, which decodes and verifies it, and its verifier."""
-        head = self.head
-        payload_hash = head.get(b"x-amz-content-sha256") or self.verified.payload_hash
-        if self.verified.payload_hash not in (
-            sigv4.UNSIGNED_PAYLOAD,
-            sigv4.STREAMING_UNSIGNED_PAYLOAD_TRAILER,
-        ):
-            payload_hash = self.verified.payload_hash
-        aws_chunked = payload_hash in AWS_CHUNKED_PAYLOADS
-        expected = ExpectedBody(payload_hash, self.verified.chunks, head.length, aws_chunked=aws_chunked)
-        if aws_chunked:
-            decoded_length = head.get(b"x-amz-decoded-content-length")
-            if (
-                decoded_length is None
-                or not decoded_length.isascii()
-                or not decoded_length.isdigit()
-                or len(decoded_length) > 15
-            ):
-                raise S3Error(
-                    "MissingContentLength", "x-amz-decoded-content-length is missing or invalid", 411
-                )
-            expected.length = int(decoded_length)
-        md5 = head.get(b"content-md5")
-        if md5 is not None:
-            expected.md5 = checksums.decode_base64(md5)
-            if expected.md5 is None or len(expected.md5) != 16:
-                raise S3Error("InvalidDigest", "Content-MD5 is not a base64-encoded MD5")
-        for name, value in head.headers:
-            algorithm = name.decode("latin-1").removeprefix(checksums.PREFIX)
-            if name.startswith(checksums.PREFIX.encode()) and algorithm not in ("algorithm", "mode", "type"):
-                self._check_algorithm(algorithm)
-                expected.checksum_values[algorithm] = checksums.decode_base64(value.decode("latin-1"))
-                if expected.checksum_values[algorithm] is None:
-                    raise S3Error("InvalidRequest", f"{name.decode()} is not base64")
-        if trailer := head.get(b"x-amz-trailer"):
-            if not aws_chunked or not payload_hash.endswith("TRAILER"):
-                raise S3Error("InvalidRequest", "x-amz-trailer requires an aws-chunked body with trailers")
-            for trailer_name in trailer.split(","):
-                algorithm = trailer_name.strip().lower().removeprefix(checksums.PREFIX)
-                self._check_algorithm(algorithm)
-                expected.checksum_values[algorithm] = None
+        expected = declared_body(self.head, self.verified)
         verifier = BodyVerifier(expected)
         self.body_reader = VerifiedBodyReader(
             self.connection.read_body,
@@ -547,12 +421,6 @@
         )
         return BodySource(self.body_reader.read, expected.length), verifier
 
-    @staticmethod
-    def _check_algorithm(algorithm: str) -> None:
-        if algorithm not in checksums.ALGORITHMS:
-            supported = ", ".join(checksums.ALGORITHMS)
-            raise S3Error("NotImplemented", f"the checksum {algorithm!r} is not supported; {supported} are")
-
     async def _read_document(self) -> bytes:
         """Reads and verifies the XML document in the request's body."""
         source, _ = self._verified_body()
