Trace three flaky tests and let them hold however slow the machine is

Cause: the first took a balance that refills at 120 units/s to be under a fixed number after a transfer, so that a transfer of 0.2 s was too slow. The second took a debt that is paid at 200 units/s or more, and bytes that were still in the socket at the reset, for bytes that were charged wrongly.

With the charge taken out, with ten units returned too few, and with no refund, the first two fail.

--- a/tests/test_ledgers.py
+++ b/tests/test_ledgers.py
@@ -194,8 +194,15 @@
             async with anyio.create_task_group() as group:
                 for path in paths:
                     group.start_soon(it.request, "PUT", path, b"x")
-                await it.wait_until(lambda: any(g["held"] for g in view.snapshot()["gateways"]))
-                (gateway,) = view.snapshot()["gateways"]
+                gateways = []
+
+                def shows_queue():
+                    gateways[:] = view.snapshot()["gateways"]
+                    return any(held["count"] >= 4 for each in gateways for held in each["held"])
+
+                # The requests arrive one after another, so that the first snapshots may show fewer of them.
+                await it.wait_until(shows_queue)
+                (gateway,) = gateways
                 assert not gateway["stale"]
                 held = gateway["held"][0]
                 assert (held["shard"], held["cause"], held["class"]) == (0, "window", "submit")
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -21,7 +21,7 @@
 from winchdyke import interface as api
 from winchdyke.config.model import S3, Listen
 from winchdyke.gateway.scheduler_loop import SchedulerLoop
-from winchdyke.quotas.byte_metering import ByteMeter
+from winchdyke.quotas.byte_metering import ByteMeter, TransferCharge
 from winchdyke.quotas.token_bucket import (
     DEBT_RATE_FRACTION,
     QuotaExceededError,
@@ -380,22 +380,36 @@
     @run_async
     async def run():
         async with rig(limited_config(), unit_ms=0.02) as it:
+            byte_meter = it.gateway.service.byte_meter
+            charges, closed = list[TransferCharge](), list[tuple[float, float]]()
+            open_charge, close_charge = byte_meter.open_charge, byte_meter.close_charge
+
+            def recording_open(*args: Any) -> TransferCharge:
+                charges.append(open_charge(*args))
+                return charges[-1]
+
+            def recording_close(volume: str, meter: Any, unused_units: float) -> None:
+                debt_before = meter.debt.units
+                close_charge(volume, meter, unused_units)
+                closed.append((unused_units, debt_before - meter.debt.units))
+
+            byte_meter.open_charge, byte_meter.close_charge = recording_open, recording_close
             peer = await connect(it, "object")
             size = 400 * UNIT
             request = h11.Request(
                 method="PUT", target="/school-1/o", headers=[("host", "t"), ("content-length", str(size))]
             )
             await peer.send(request, h11.Data(data=b"x" * (size * 3 // 4)))
-            byte_meter = it.gateway.service.byte_meter
-            await it.wait_until(lambda: byte_meter.debt_units("school-1") > 250)
-            await it.wait_until(lambda: any(entry["what"] == "head" for entry in it.record.entries))
-            await anyio.sleep(0.1)
-            before = byte_meter.debt_units("school-1")
-            await peer.reset()
-            await it.wait_until(lambda: byte_meter.debt_units("school-1") <= before - 90)
-            assert before - 100 - 60 <= byte_meter.debt_units("school-1") <= before - 90, (
-                "a quarter of the body was never sent"
+            # Bytes that the gateway has not read when the connection is reset would count as never sent.
+            await it.wait_until(
+                lambda: bool(charges) and charges[0].transferred_bytes == size * 3 // 4, seconds=20.0
             )
+            debt = byte_meter.debt_units("school-1")
+            await peer.reset()
+            await it.wait_until(lambda: bool(closed))
+            ((unused_units, debt_decrease),) = closed
+            assert unused_units == 100.0, "a quarter of the body was never sent"
+            assert debt_decrease >= min(debt, 100.0)
 
     run()
 
@@ -504,11 +518,15 @@
             assert (await it.request("PUT", "/contest-1/o", body)).status < 300
             quota = it.gateway.scheduler_loop.quota("contest-1")
             assert quota.plan.reserved_units_per_s and not quota.plan.limit_units_per_s
-            if asked != "put":
-                quota.reserved_units = 10.0
+            quota.reserved_units, started_at_ms = 10.0, quota.refilled_at_ms
+            if asked == "put":
+                assert (await it.request("PUT", "/contest-1/o", body)).status < 300
+            else:
                 headers = {"range": f"bytes=0-{len(body) - 1}"} if asked == "range" else {}
                 assert len((await it.request("GET", "/contest-1/o", **headers)).body) == len(body)
-            assert -50.0 <= quota.reserved_units < -30.0, quota.reserved_units
+            # The balance is refilled while the body is transferred, which takes longer on a busy machine.
+            refill = quota.plan.reserved_units_per_s * (quota.refilled_at_ms - started_at_ms) / 1000
+            assert -50.0 <= quota.reserved_units <= 10.0 - 50.0 + refill + 0.01, quota.reserved_units
 
     run()
 
