Resume only as many waiting tasks in a turn as its budget allows

Seen: in winchdyke serve, all tasks that waited for a turn of the event loop were resumed in the same one, and each went on by a parsed head or chunk at least. So the work of a turn still grew with the number of peers.

Cause: resuming a task spent nothing, since its work comes a turn later, and the loop over those that wait ends when the budget is spent.

Change: resuming a task spends 16 units in advance; half of a turn's budget resumes 32 tasks. The others wait in their order.

Measured: the new test, 300 tasks that wait, resumed 300 in one turn before; now at most 64, and all are resumed in the end.

--- a/tests/test_turn_budget.py
+++ b/tests/test_turn_budget.py
@@ -16,6 +16,7 @@
 from winchdyke.gateway.request_context import RejectingSink
 from winchdyke.gateway.scheduler_loop import monotonic_ms
 from winchdyke.http1 import ClientCodec, ServerCodec
+from winchdyke.peer_limits.task_turns import RESUME_UNITS, TaskTurns, budget_of_running_loop
 from winchdyke.peer_limits.turn_budget import UNITS_PER_TURN, TurnBudget, receive_units
 from winchdyke.platform import client_idle_eviction, sockets
 from winchdyke.platform.client_connection import ClientConnection, ConnectionState
@@ -315,3 +316,34 @@
     asyncio.run(scenario())
     assert sorted(results) == ["CONNECTION_RESET"] * 4 + ["SERVED"] * 4
     assert 0 < counter.max_calls <= MAX_CHUNKS_PER_TURN
+
+
+def test_tasks_that_wait_for_a_turn_do_not_all_continue_in_the_same_one():
+    # Guards against a turn whose work grows with the number of waiting tasks, each of which continues by a little.
+    continued_in_turn: Counter[int] = Counter()
+    turn = 0
+
+    def count_turns() -> None:
+        nonlocal turn
+        turn += 1
+        asyncio.get_running_loop().call_soon(count_turns)
+
+    async def peer() -> None:
+        turns = TaskTurns()
+        await turns.wait()
+        continued_in_turn[turn] += 1
+        turns.count(1)
+
+    async def use_up_the_turn() -> None:
+        budget_of_running_loop().spend(UNITS_PER_TURN)
+
+    async def scenario() -> None:
+        count_turns()
+        async with anyio.create_task_group() as group:
+            group.start_soon(use_up_the_turn)
+            for _ in range(300):
+                group.start_soon(peer)
+
+    asyncio.run(scenario())
+    assert continued_in_turn.total() == 300
+    assert max(continued_in_turn.values()) <= UNITS_PER_TURN // RESUME_UNITS
--- a/winchdyke/peer_limits/task_turns.py
+++ b/winchdyke/peer_limits/task_turns.py
@@ -7,6 +7,8 @@
 
 from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, TurnBudget
 
+RESUME_UNITS = 16  # the work of resuming a task; bounds how many of them continue in one turn
+
 _budgets: WeakKeyDictionary[asyncio.AbstractEventLoop, TurnBudget] = WeakKeyDictionary()
 
 
@@ -39,12 +41,17 @@
             return
         self._units_left = UNITS_PER_PEER
         turn = asyncio.Event()
-        self._budget.defer(turn, turn.set)
+        self._budget.defer(turn, lambda: self._resume(turn))
         try:
             await turn.wait()
         finally:
             self._budget.cancel(turn)
 
+    def _resume(self, turn: asyncio.Event) -> None:
+        """Let the task continue; it does so in the next turn, so its work is counted in advance."""
+        self._budget.spend(RESUME_UNITS)
+        turn.set()
+
     def count(self, work_units: int) -> None:
         """Count the work of the peer's parser, given as its total so far."""
         units = work_units - self._counted_units
