--- a/tests/test_s3_body.py
+++ b/tests/test_s3_body.py
@@ -56,7 +56,7 @@
 
 
 def test_uploads_in_small_chunks_share_the_work_of_a_turn(tmp_path, monkeypatch):
-    # Guards against uploads whose chunks are all decoded at once: some 30,000 elements in a turn of the event loop.
+    # Guards against uploads whose chunks are all decoded in one turn of the event loop: 12,000 elements of four uploads.
     counter = TurnCounter(monkeypatch, BodyVerifier, "_next_piece")
 
     @run_async
--- a/winchdyke/peer_limits/memory_account.py
+++ b/winchdyke/peer_limits/memory_account.py
@@ -6,7 +6,7 @@
 class MemoryAccount:
     """The memory held on behalf of a group of peers.
 
-    Whoever holds memory for a peer calls :meth:`change` as it takes and as it releases it. The account refuses nothing:
+    Each holder of memory for a peer calls :meth:`change` as it takes and as it releases it. The account refuses nothing:
     its user looks at :attr:`available_bytes` before it takes more, and may exceed the limit for what must be finished.
 
     Attributes:
--- a/winchdyke/peer_limits/turn_budget.py
+++ b/winchdyke/peer_limits/turn_budget.py
@@ -43,7 +43,7 @@
         self.max_turn_units = 0
         self._call_soon = call_soon
         self._turn_scheduled = False
-        self._deferred: dict[object, Callable[[], None]] = {}  # by owner, in the order in which they came
+        self._deferred: dict[object, Callable[[], None]] = {}  # the oldest first
 
     @property
     def exhausted(self) -> bool:
@@ -58,7 +58,7 @@
     def spend(self, units: int) -> None:
         """Count work that was done."""
         self.spent_units += units
-        # A new turn costs a pass of the event loop, so it is asked for only once half of the budget is spent.
+        # A new turn costs a pass of the event loop, so it is scheduled only once half of the budget is spent.
         if self.spent_units >= self.units_per_turn // 2:
             self._schedule_turn()
 
--- a/winchdyke/platform/upstream_response.py
+++ b/winchdyke/platform/upstream_response.py
@@ -10,7 +10,8 @@
 from winchdyke.platform import protocol
 from winchdyke.platform.upstream_connection import MAX_HEAD_BYTES
 
-MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES  # for informational responses, head and chunk framing together
+# The limit on informational responses, head and chunk framing together.
+MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
 
 
 class MalformedResponseError(Exception):
@@ -48,7 +49,7 @@
         self.account = account
         self.on_full: Callable[[], None] = lambda: None
         self.make_room: Callable[[], bool] = lambda: False
-        self._incomplete: dict[ResponseReader, None] = {}  # in the order in which they began
+        self._incomplete: dict[ResponseReader, None] = {}  # the oldest first
 
     @property
     def buffered_bytes(self) -> int:
--- a/winchdyke/s3/body_reader.py
+++ b/winchdyke/s3/body_reader.py
@@ -13,7 +13,8 @@
 
 # Buffered for a body without being charged to the memory of all: larger than the signed chunks that clients usually send.
 FREE_BUFFER_BYTES = 1 << 20
-MAX_BUFFERED_CHUNKS_BYTES = 256 << 20  # of all bodies, beyond what is free
+# The limit on what all bodies buffer beyond FREE_BUFFER_BYTES each.
+MAX_BUFFERED_CHUNKS_BYTES = 256 << 20
 RETRY_AFTER_FULL_MS = 1000.0
 
 
