Check bodies in S3's chunks decoded in steps of any size against the whole

Need: decoding in steps of bounded work had a test of its bounds and none of its result at every step size.

Change: a test with twenty seeds cuts bodies into random chunks, pieces and steps; adding no bytes no longer hides that some are left to decode, which no caller did.

--- a/tests/test_s3_body.py
+++ b/tests/test_s3_body.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import hashlib
+import random
+import zlib
 
 import anyio
 import pytest
@@ -131,3 +134,32 @@
                     await read_all(reader)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_body_decoded_in_steps_of_any_size_is_the_body_decoded_in_one(seed):
+    # Guards against steps that end within a chunk or a trailer and lose, repeat or accept bytes.
+    rng = random.Random(seed)
+    payload = rng.randbytes(rng.randrange(1, 6000))
+    chunks, at = bytearray(), 0
+    while at < len(payload):
+        chunk = payload[at : at + rng.randrange(1, 700)]
+        chunks += b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        at += len(chunk)
+    checksum = base64.b64encode(zlib.crc32(payload).to_bytes(4))
+    encoded = bytes(chunks) + b"0\r\nx-amz-checksum-crc32:" + checksum + b"\r\n\r\n"
+    verifier = BodyVerifier(
+        ExpectedBody(MARKER, length=len(payload), checksum_values={"crc32": None}, aws_chunked=True)
+    )
+    decoded = bytearray()
+    at = 0
+    while at < len(encoded) or verifier.has_more_work:
+        if not verifier.has_more_work or rng.random() < 0.3:
+            piece = encoded[at : at + rng.randrange(1, 900)]
+            verifier.add(piece)
+            at += len(piece)
+        units_before = verifier.work_units
+        max_units = rng.randrange(1, 20)
+        decoded += verifier.decode(max_units)
+        assert verifier.work_units <= units_before + max_units
+    assert bytes(decoded) + verifier.finish() == payload
--- a/winchdyke/s3/body.py
+++ b/winchdyke/s3/body.py
@@ -92,7 +92,7 @@
 
     def add(self, data: bytes | bytearray) -> None:
         """Adds bytes of the body as sent by the client."""
-        self.has_more_work = bool(data)
+        self.has_more_work = self.has_more_work or bool(data)
         if self._state == "identity":
             self._plain.append(data)
             return
