--- a/review/lib2/platform_rig.py
+++ b/review/lib2/platform_rig.py
@@ -199,52 +199,74 @@
 
 
 class Deployment:
-    """Stores, discovery, and one gateway."""
+    """Stores, discovery, and gateways.
 
-    def __init__(self, case: common.Case, shards: int = 4, **limits: float) -> None:
+    Attributes:
+        ports: The gateways' ports; ``port`` is the first one's.
+        processes: The gateways' processes; ``process`` is the first one.
+    """
+
+    def __init__(self, case: common.Case, shards: int = 4, gateways: int = 1, **limits: float) -> None:
         self.case = case
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **limits}
         self.stores = [Store(case, f"store-{shard}", shard) for shard in range(shards)]
         self.discovery = Discovery(case, self.stores)
-        self.port = 0
-        self.process: asyncio.subprocess.Process
+        self.ports: list[int] = []
+        self.processes: list[asyncio.subprocess.Process] = []
+        self._gateways = gateways
         self._number = 0
 
-    async def start(self, settings: dict[str, Any] | None = None) -> None:
-        """Start everything, and wait until the gateway is ready."""
+    @property
+    def port(self) -> int:
+        """The first gateway's port."""
+        return self.ports[0]
+
+    @property
+    def process(self) -> asyncio.subprocess.Process:
+        """The first gateway's process."""
+        return self.processes[0]
+
+    async def start(self) -> None:
+        """Start everything, and wait until the gateways are ready."""
         for store in self.stores:
-            await store.start()
+            if not store.address:  # a store with an address runs already, in a process of its own
+                await store.start()
         await self.discovery.start()
-        self.port = common.free_port()
+        for index in range(self._gateways):
+            await self._start_gateway(index)
+
+    async def _start_gateway(self, index: int) -> None:
+        name = "gateway" if index == 0 else f"gateway-{index}"
+        port = common.free_port()
         config = {
-            "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
+            "name": f"n{index}",
+            "listen": f"127.0.0.1:{port}",
             "discovery": self.discovery.address,
-            "seed": "8c1f30d27a5be964",
+            "seed": f"8c1f30d27a5be96{index}",
             "limits": self.limits,
             "known": self.discovery.full_list(),
-            "settings": settings or SETTINGS,
+            "settings": {**SETTINGS, "index": index},
         }
-        path = self.case.folder / "config.json"
+        path = self.case.folder / f"config-{index}.json"
         path.write_text(json.dumps(config))
-        self.process = await self.case.spawn(
-            "gateway",
+        process = await self.case.spawn(
+            name,
             "-m",
             "winchdyke.platform",
-            NODE_NAME="n0",
+            NODE_NAME=f"n{index}",
             NODE_LISTEN=config["listen"],
             NODE_DISCOVERY=config["discovery"],
             NODE_CONFIG=str(path),
         )
+        self.ports.append(port)
+        self.processes.append(process)
 
         async def ready() -> bool:
-            if self.process.returncode is not None:
-                raise common.CouldNotRunError(
-                    f"the gateway did not start: {self.case.log_text('gateway')[-500:]}"
-                )
-            return (await common.ask(self.port, "GET", "/-/ready")).status == 200
+            if process.returncode is not None:
+                raise common.CouldNotRunError(f"{name} did not start: {self.case.log_text(name)[-500:]}")
+            return (await common.ask(port, "GET", "/-/ready")).status == 200
 
-        await common.wait_for(ready, 30, "the gateway is ready")
+        await common.wait_for(ready, 30, f"{name} is ready")
 
     def request(
         self, kind: str, shard: int, body: bytes = b"", deadline_ms: int = 0, item: int = 0
