--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,6 +9,7 @@
 import common
 from platform_rig import Deployment
 
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 MEMORY_MB = 32  # the page: 32 to 192 MB
 DESCRIPTORS = 1024  # the page: 256 to 1,024
 BAD_CLIENTS = 600  # at once; the page: by hundreds
@@ -50,15 +51,18 @@
 
 async def bad_client(fleet: Deployment, kind: int) -> None:
     """Send at full speed, read what comes until the connection ends, and leave after the time that is owed."""
+    data, received = bad_bytes(fleet, kind), b""
     with contextlib.suppress(OSError, TimeoutError):
         reader, writer = await asyncio.open_connection("127.0.0.1", fleet.port)
         try:
-            writer.write(bad_bytes(fleet, kind))
+            writer.write(data)
             async with asyncio.timeout(OWED_SECONDS):
-                while await reader.read(65536):
-                    pass
+                while piece := await reader.read(65536):
+                    received = received or piece
         finally:
             writer.transport.abort()
+    first = received.split(b"\r\n")[0].decode("latin-1")
+    fleet.case.note(f"bad-kind-{kind}", "left", sent_bytes=len(data), first_answer=repr(first))
 
 
 async def crowd(fleet: Deployment, end_s: float) -> None:
@@ -86,6 +90,7 @@
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection("127.0.0.1", fleet.port)
             writer.write(data)
+            case.note(f"usual-{number}", "sent", id=request_id)
             answer = await common.read_answer(reader, 4.0)
             writer.close()
         case.note(f"usual-{number}", "answer", id=request_id, status=answer.status, error=answer.error or "-")
@@ -123,4 +128,4 @@
     await asyncio.gather(*usual, *bad)
 
 
-common.run(__file__, play)
+common.run(RECORD, play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 
 import anyio
 import common
 from objects import MIDLANDS, Deployment
 
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 VOLUME = "school-1"
 SHARD = 2
 WRITES = 6  # at each of two gateways
@@ -67,4 +69,4 @@
         group.cancel_scope.cancel()
 
 
-common.run(__file__, play)
+common.run(RECORD, play)
--- a/review/lib2/common.py
+++ b/review/lib2/common.py
@@ -25,7 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 PYTHON = str(ROOT / ".venv" / "bin" / "python")
 CASE_SECONDS = 110.0
-LOGGED_LINES = 20  # of each program, at the end of the record
+LOGGED_LINES = 20  # of each gateway, at the end of the record; all lines of a store
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
@@ -52,18 +52,18 @@
         breaks: The breaks of the rule that were seen.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, record: Path) -> None:
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = Path(tempfile.mkdtemp(prefix="winchdyke-review-"))
         self.breaks: list[str] = []
-        self._began = time.monotonic()
-        self._record = (folder / "record.txt").open("w", encoding="utf-8")
+        self.began = time.monotonic()
+        self._record = record.open("w", encoding="utf-8")
         self._processes: list[asyncio.subprocess.Process] = []
 
     @property
     def seconds(self) -> float:
         """The time since the case began."""
-        return time.monotonic() - self._began
+        return time.monotonic() - self.began
 
     def note(self, who: str, what: str, **more: Any) -> None:
         """Write one line to the record: time in seconds, who, what, and details."""
@@ -123,7 +123,10 @@
         self.note("case", "end", breaks=len(self.breaks))
         for path in sorted(self.folder.glob("*.log")):
             lines = path.read_text(encoding="utf-8", errors="replace").splitlines()
-            self._record.write("\n".join([f"--- {path.name}, its last lines", *lines[-LOGGED_LINES:]]) + "\n")
+            shown = lines if path.stem.startswith("store-") else lines[-LOGGED_LINES:]
+            self._record.write(
+                "\n".join([f"--- {path.name}, {len(shown)} of {len(lines)} lines", *shown]) + "\n"
+            )
         self._record.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -191,13 +194,18 @@
         writer.close()
 
 
-def run(file: str, play: Callable[[Case], Awaitable[None]]) -> None:
-    """Play a case, and exit with 1 if its rule was broken, 0 if it held, 2 if it could not run."""
-    folder = Path(file).resolve().parent
-    case = Case(folder)
+def run(record: Path, play: Callable[[Case], Awaitable[None]]) -> None:
+    """Play a case, and exit with 1 if its rule was broken, 0 if it held, 2 if it could not run.
+
+    ``record``: the file that gets what was sent, answered and run.
+    """
+    case = Case(record)
     result = COULD_NOT_RUN
 
     async def whole() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(CASE_SECONDS):
                 await play(case)
@@ -212,5 +220,5 @@
             traceback.print_exc()  # whatever the error is, the case says nothing about the rule
         for text in case.breaks:
             print(f"BROKEN: {text}")
-        print(json.dumps({"case": folder.name, "trouble": case.trouble, "exit": result}))
+        print(json.dumps({"case": record.parent.name, "trouble": case.trouble, "exit": result}))
         sys.exit(result)
--- a/review/lib2/store_process.py
+++ b/review/lib2/store_process.py
@@ -16,14 +16,17 @@
 class Store:
     """Takes requests in turn of arrival on its cores, on kept connections."""
 
-    def __init__(self, shard: int, cores: int, work_ms: float, copies: float, late_ms: float) -> None:
+    def __init__(
+        self, shard: int, cores: int, work_ms: float, copies: float, late_ms: float, began: float
+    ) -> None:
+        self.began = began
         self.shard, self.work_ms, self.copies, self.late_ms = shard, work_ms, copies, late_ms
         self.random = random.Random(shard)
         self.free = asyncio.Semaphore(cores)
 
     def say(self, *words: object) -> None:
-        """Print a line with the time."""
-        print(f"{time.monotonic():.4f}", *words, flush=True)
+        """Print a line with the time since the case began."""
+        print(f"{time.monotonic() - self.began:9.4f}", *words, flush=True)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
@@ -46,7 +49,7 @@
                 body = f"data for {request_id} from shard {self.shard}".encode()
                 answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
                 writer.write(answer)
-                self.say("answer", request_id, "on", port)
+                self.say("ran, answer", request_id, "on", port)
                 if self.random.random() < self.copies:
                     asyncio.get_running_loop().call_later(
                         self.late_ms / 1000, self._send_copy, writer, answer, request_id, port
@@ -60,9 +63,9 @@
 
 
 async def main() -> None:
-    """Serve until the process is ended. Arguments: shard, cores, work, share of second copies, their delay (ms)."""
-    shard, cores, work_ms, copies, late_ms = (float(word) for word in sys.argv[1:6])
-    store = Store(int(shard), int(cores), work_ms, copies, late_ms)
+    """Serve until the process is ended. Arguments: shard, cores, work, share of second copies, their delay (ms), the case's begin."""
+    shard, cores, work_ms, copies, late_ms, began = (float(word) for word in sys.argv[1:7])
+    store = Store(int(shard), int(cores), work_ms, copies, late_ms, began)
     server = await asyncio.start_server(store.serve, "127.0.0.1", 0)
     print(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", flush=True)
     await server.serve_forever()
