Free closed connections at once, and take the process itself off its memory limit

Cause: a client's parser kept a method of its connection, a response's reader one of its attempt; such cycles are freed by the garbage collector alone, so closed connections stayed in memory and in no account. And the accounts were 3/8 of the limit, whatever the process had in use before its first peer: 16.6 of 32 MB.

Change: neither keeps a method of its owner. What the process has in use as it begins to serve and all connections to stores come off the limit; requests get a third of the rest, responses a sixth, and half is the reserve. A connection is charged 3 KiB, and the number of clients follows from the memory as well.

Tests in tests/test_peer_memory.py are unchanged: their harness tells a process of a quarter of the limit.

--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -169,7 +169,9 @@
         limits={"cores": 1, "memory_mb": memory_mb, "sockets": max_descriptors},
     )
     os.environ["NODE_CONFIG"] = variables["NODE_CONFIG"]
-    gateway = PlatformGateway(configuration.read_environment(variables), asyncio.get_running_loop())
+    process_bytes = memory_mb * 2**20 // 4  # as if by itself; a quarter of the limit is then for requests
+    loop = asyncio.get_running_loop()
+    gateway = PlatformGateway(configuration.read_environment(variables), loop, process_bytes)
     serving = asyncio.ensure_future(gateway.run())
     harness = Harness(gateway, store, watches, port)
     harness.entry = entry
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -14,11 +14,11 @@
 from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, receive_units
 from winchdyke.platform import sockets
 from winchdyke.platform.client_request import RequestProgress, RequestReader
+from winchdyke.platform.peer_memory import CONNECTION_OBJECTS_BYTES
 
 if TYPE_CHECKING:
     from winchdyke.platform.client_connections import ClientConnections
 
-CONNECTION_OBJECTS_BYTES = 4 * 1024  # the memory of a connection that has received nothing
 # Buffered while a response is pending. Data beyond this limit is discarded and answered with 413.
 MAX_PIPELINED_BYTES = 64 * 1024
 # The limit on data discarded in the LINGERING state, or between two timeout checks while a response is pending.
@@ -85,7 +85,7 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.close_after_response = False
         self.reserved_body_bytes = 0
-        self._reader = RequestReader(connections.request_parser, self._reserve_body, sock.send)
+        self._reader = RequestReader(connections.request_parser)
         self._request_charge = MemoryCharge(connections.memory.requests)
         self._request_charge.set(CONNECTION_OBJECTS_BYTES)
         self._payload_charge = MemoryCharge(connections.memory.responses)
@@ -240,7 +240,7 @@
         codec = self._reader.codec
         units_before = codec.work_units
         try:
-            return self._reader.read(UNITS_PER_PEER)
+            return self._reader.read(UNITS_PER_PEER, self)
         finally:
             self._connections.turn_budget.spend(codec.work_units - units_before)
 
@@ -258,9 +258,14 @@
         else:
             self._wait_for_more()
 
-    def _reserve_body(self, length_bytes: int) -> None:
+    def reserve_body(self, length_bytes: int) -> None:
+        """Reserve memory for the body of the request that is being read. Raises ProtocolError."""
         self._connections.reserve_body(self, length_bytes)
 
+    def send_interim(self, response: bytes) -> None:
+        """Send an interim response. Raises OSError."""
+        self.sock.send(response)
+
     def _dispatch_request(self) -> None:
         """Pass a complete request on unless its client has disconnected.
 
--- a/winchdyke/platform/client_request.py
+++ b/winchdyke/platform/client_request.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from enum import Enum, auto
+from typing import Protocol
 
 from winchdyke.http1 import EndOfBody, NeedData, RequestHead, ServerCodec
 from winchdyke.platform import protocol
+from winchdyke.platform.peer_memory import REQUEST_OBJECTS_BYTES
 
 MAX_HEAD_BYTES = 16 * 1024
-# Memory of a parsed request besides the bytes of its fields and its body: its objects here and in the scheduler.
-REQUEST_OBJECTS_BYTES = 4 * 1024
 
 
 class RequestProgress(Enum):
@@ -23,27 +22,30 @@
     CLOSED = auto()  # the client has closed between requests
 
 
+class RequestSender(Protocol):
+    """The client connection from which requests are read."""
+
+    def reserve_body(self, length_bytes: int) -> None:
+        """Reserve memory for a body, when its length is known and as it grows. Raises ProtocolError."""
+
+    def send_interim(self, response: bytes) -> None:
+        """Send an interim response to a client that waits for it. Raises OSError."""
+
+
 class RequestReader:
     """The parser of one connection and the request that it has received in part.
 
+    It keeps no reference to its connection: a closed connection is then freed at once, and not by the garbage collector.
+
     Args:
         request_parser: Validates the head of a request.
-        reserve_body: Called with the length of a body, when it is known and as it grows. Raises ProtocolError.
-        send_continue: Called with a ``100 Continue`` response for a client that waits for it.
     """
 
-    __slots__ = ("_body", "_request", "_request_parser", "_reserve_body", "_send_continue", "codec")
+    __slots__ = ("_body", "_request", "_request_parser", "codec")
 
-    def __init__(
-        self,
-        request_parser: protocol.RequestParser,
-        reserve_body: Callable[[int], None],
-        send_continue: Callable[[bytes], object],
-    ) -> None:
+    def __init__(self, request_parser: protocol.RequestParser) -> None:
         self.codec = ServerCodec(MAX_HEAD_BYTES)
         self._request_parser = request_parser
-        self._reserve_body = reserve_body
-        self._send_continue = send_continue
         self._request: protocol.ParsedRequest | None = None
         self._body = bytearray()
 
@@ -55,18 +57,18 @@
             held_bytes += request_memory_bytes(self._request)
         return held_bytes
 
-    def read(self, max_work_units: int) -> RequestProgress:
+    def read(self, max_work_units: int, client: RequestSender) -> RequestProgress:
         """Parse the received bytes until a request is complete, or until ``max_work_units`` of work are done.
 
         Raises ProtocolError if the request is invalid or exceeds a limit.
         """
         if self._request is None:
-            progress = self._read_head()
+            progress = self._read_head(client)
             if progress is not None:
                 return progress
-        return self._read_body(max_work_units)
+        return self._read_body(max_work_units, client)
 
-    def _read_head(self) -> RequestProgress | None:
+    def _read_head(self, client: RequestSender) -> RequestProgress | None:
         """Return None once a request has begun whose body may follow."""
         head = self.codec.head()
         if isinstance(head, NeedData):
@@ -77,12 +79,12 @@
             return RequestProgress.READINESS_CHECK
         # Only the few fields of the parsed request are kept: a parsed head takes many times its bytes.
         self._request = self._request_parser.parse(head)
-        self._reserve_body(head.length or 0)
+        client.reserve_body(head.length or 0)
         if head.length != 0 and self.codec.waiting_for_continue:
-            self._send_continue(self.codec.continue_response())
+            client.send_interim(self.codec.continue_response())
         return None
 
-    def _read_body(self, max_work_units: int) -> RequestProgress:
+    def _read_body(self, max_work_units: int, client: RequestSender) -> RequestProgress:
         codec = self.codec
         last_work_units = codec.work_units + max_work_units
         while not codec.body_done:
@@ -92,7 +94,7 @@
             if isinstance(piece, EndOfBody):
                 break
             self._body += piece
-            self._reserve_body(len(self._body))
+            client.reserve_body(len(self._body))
             if codec.work_units >= last_work_units:
                 return RequestProgress.HAS_MORE_WORK
         return RequestProgress.COMPLETE
--- a/winchdyke/platform/peer_memory.py
+++ b/winchdyke/platform/peer_memory.py
@@ -1,7 +1,8 @@
 """The gateway's memory for its peers: one account for clients' requests, one for stores' responses.
 
 The accounts are separate so that neither side can take the memory of the other: requests are admitted while their
-account has room, and the responses to requests that were admitted have memory of their own.
+account has room, and the responses to requests that were admitted have memory of their own. Together they get a part of what
+the limit leaves beside the memory that the process has in use before its first peer; the rest is a reserve.
 """
 
 from __future__ import annotations
@@ -14,12 +15,23 @@
 from winchdyke.peer_limits.memory_account import MemoryAccount
 from winchdyke.platform import protocol
 
-REQUESTS_MEMORY_FRACTION = 1 / 4  # all requests: connections, bytes received, parsed requests, bodies
-RESPONSES_MEMORY_FRACTION = 1 / 8  # all responses that are being read from stores or written to clients
+# Fractions of the memory that the process leaves. The reserve is for the scheduler's state, for work under way, and for
+# memory that was released and that the allocators of the interpreter and of the C library keep, each for its own sizes.
+REQUESTS_MEMORY_FRACTION = 1 / 3  # all requests: connections, bytes received, parsed requests, bodies
+RESPONSES_MEMORY_FRACTION = 1 / 6  # all responses that are being read from stores or written to clients
+MIN_PEER_MEMORY_FRACTION = 1 / 8  # of the limit: left to peers even if the process has nearly all in use
 # Some clients and stores exceed the protocol's body limit of 64 KiB.
 MAX_REQUEST_BODY_FRACTION = 1 / 256
-LARGE_REQUEST_BODIES_FRACTION = 1 / 16  # all request bodies that exceed the protocol's limit
+LARGE_REQUEST_BODIES_FRACTION = (
+    1 / 4
+)  # of the memory for requests: all bodies that exceed the protocol's limit
 MAX_RESPONSE_BODY_FRACTION = 1 / 64
+CONNECTION_OBJECTS_BYTES = (
+    3 * 1024
+)  # the memory of a connection, to a client or a store, that has received nothing
+# Memory of a parsed request besides the bytes of its fields and its body: its objects here and in the scheduler.
+REQUEST_OBJECTS_BYTES = 4 * 1024
+MIN_CLIENT_BYTES = CONNECTION_OBJECTS_BYTES + REQUEST_OBJECTS_BYTES
 LOG_INTERVAL_MS = 10_000.0
 
 
@@ -67,13 +79,26 @@
     max_response_body_bytes: int
 
     @classmethod
-    def of_machine(cls, memory_mb: float) -> PeerMemory:
-        """Return the accounts and limits for a machine with ``memory_mb`` MiB of memory."""
+    def of_machine(cls, memory_mb: float, process_bytes: int, store_connections: int = 0) -> PeerMemory:
+        """Return the accounts and limits of a process.
+
+        Args:
+            memory_mb: The limit on the process's memory, in MiB.
+            process_bytes: What the process has in use before its first peer connects.
+            store_connections: How many connections to stores may be open; they are charged in advance.
+        """
         memory_bytes = memory_mb * 2**20
+        in_use_bytes = process_bytes + store_connections * CONNECTION_OBJECTS_BYTES
+        left_bytes = max(memory_bytes - in_use_bytes, memory_bytes * MIN_PEER_MEMORY_FRACTION)
+        requests_bytes = int(left_bytes * REQUESTS_MEMORY_FRACTION)
         return cls(
-            MemoryAccount(int(memory_bytes * REQUESTS_MEMORY_FRACTION)),
-            MemoryAccount(int(memory_bytes * RESPONSES_MEMORY_FRACTION)),
+            MemoryAccount(requests_bytes),
+            MemoryAccount(int(left_bytes * RESPONSES_MEMORY_FRACTION)),
             max(protocol.MAX_BODY_BYTES, int(memory_bytes * MAX_REQUEST_BODY_FRACTION)),
-            int(memory_bytes * LARGE_REQUEST_BODIES_FRACTION),
+            int(requests_bytes * LARGE_REQUEST_BODIES_FRACTION),
             max(protocol.MAX_BODY_BYTES, int(memory_bytes * MAX_RESPONSE_BODY_FRACTION)),
         )
+
+    def max_clients(self, max_by_descriptors: int) -> int:
+        """Return how many clients may be connected, so that each of them can have a request open."""
+        return min(max_by_descriptors, self.requests.limit_bytes // MIN_CLIENT_BYTES)
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -24,6 +24,7 @@
 from winchdyke.platform.endpoint_directory import EndpointDirectory
 from winchdyke.platform.maintenance import Maintenance, memory_mb
 from winchdyke.platform.peer_memory import MemoryFullLog, PeerMemory
+from winchdyke.platform.process_memory import own_memory_bytes
 from winchdyke.platform.request_forwarding import RequestForwarder
 from winchdyke.platform.shutdown_sequence import ShutdownSequence
 from winchdyke.platform.upstream_pool import UpstreamPool
@@ -46,10 +47,13 @@
 class PlatformGateway:
     """The components of one gateway: passes events to the scheduler and carries out its actions.
 
-    Raises OSError if the listening socket can't be opened.
+    ``process_bytes`` is the memory that the process has in use before it serves. Raises OSError if the listening
+    socket can't be opened.
     """
 
-    def __init__(self, environment: configuration.Environment, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, environment: configuration.Environment, loop: asyncio.AbstractEventLoop, process_bytes: int
+    ) -> None:
         self.environment = environment
         self.loop = loop
         self.clock = monotonic_ms
@@ -60,10 +64,12 @@
         self.scheduler_loop = SchedulerLoop(environment.settings, environment.seed)
         self.scheduler_loop.on_event_posted = self._schedule_turn
         descriptors = max(MIN_SHARED_DESCRIPTORS, environment.limits.max_descriptors - RESERVED_DESCRIPTORS)
-        max_clients = int(descriptors * CLIENT_DESCRIPTOR_FRACTION)
+        client_descriptors = int(descriptors * CLIENT_DESCRIPTOR_FRACTION)
         self.turn_budget = TurnBudget(loop.call_soon)
-        self.memory = PeerMemory.of_machine(environment.limits.memory_mb)
-        self.upstream_pool = self._make_upstream_pool(descriptors - max_clients)
+        store_descriptors = descriptors - client_descriptors
+        self.memory = PeerMemory.of_machine(environment.limits.memory_mb, process_bytes, store_descriptors)
+        max_clients = self.memory.max_clients(client_descriptors)
+        self.upstream_pool = self._make_upstream_pool(store_descriptors)
         self.endpoints = EndpointDirectory(self.scheduler_loop, self.upstream_pool, self.clock)
         self.forwarder = RequestForwarder(
             self.scheduler_loop, self.upstream_pool, self.endpoints, self.clock, self.memory.requests
@@ -247,7 +253,8 @@
     be opened.
     """
     loop = asyncio.get_running_loop()
-    gateway = PlatformGateway(configuration.read_environment(os.environ), loop)
+    environment = configuration.read_environment(os.environ)
+    gateway = PlatformGateway(environment, loop, own_memory_bytes())
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     loop.add_signal_handler(signal.SIGTERM, gateway.stop)
     for number in early_signals:
--- a/winchdyke/platform/upstream_response.py
+++ b/winchdyke/platform/upstream_response.py
@@ -14,6 +14,10 @@
 MAX_FRAMING_BYTES = 2 * MAX_HEAD_BYTES
 
 
+def _ignore() -> None:
+    """Do nothing: the callback of a response that has ended."""
+
+
 class MalformedResponseError(Exception):
     """A response must not be forwarded; ``reason`` is ``http``, ``framing``, ``length`` or ``too-large``."""
 
@@ -101,7 +105,7 @@
         self,
         memory: ResponseMemory,
         load_report_fields: tuple[str, ...],
-        on_evicted: Callable[[], None] = lambda: None,
+        on_evicted: Callable[[], None] = _ignore,
     ) -> None:
         self.on_evicted = on_evicted
         self._memory = memory
@@ -149,9 +153,10 @@
         return progress
 
     def release(self) -> None:
-        """Release the memory of the response."""
+        """Release the memory of the response, and the reference to its attempt."""
         self._memory.remove(self)
         self._charge.set(0)
+        self.on_evicted = _ignore
 
     def _parse(self, codec: ClientCodec, max_work_units: int) -> ResponseProgress:
         last_work_units = codec.work_units + max_work_units
