Draw the key of a write-back record at random, and keep it in the record

Cause: a write without a client's key was sent under log-EPOCH-SEQUENCE, which count from 1 in each log, while a store remembers keys for all gateways: it dropped the second gateway's writes as repeats, and the gateway marked them done.

Ids of the gateway's own queries are random as well. The record has a module of its own, writeback/record.py.

--- a/tests/data/write_fixtures.py
+++ b/tests/data/write_fixtures.py
@@ -35,12 +35,12 @@
 from winchdyke.discovery.list_protocol import ReceivedList
 from winchdyke.discovery.records import CachedEndpoint, DiscoveryStatus, ListedEndpoint
 from winchdyke.discovery.sources import OnFailure, OnList
-from winchdyke.gateway.writeback import WriteBackRecord, etag_of
 from winchdyke.latency_attribution import compaction, ledger_writer
 from winchdyke.latency_attribution.records import Account, QueuedGroup, TraceRecord
 from winchdyke.membership import member_cache
 from winchdyke.writeback.disk import Folder
 from winchdyke.writeback.log import Log, RecordKind
+from winchdyke.writeback.record import WriteBackRecord, etag_of
 
 START_S = 1_700_000_000
 START_MS = START_S * 1000.0
--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -47,6 +47,24 @@
     await it.wait_until(lambda: not write_back._pending_objects and not write_back.drain.in_flight, 10)
 
 
+async def start_gateway(it: Rig, folder: Path) -> Gateway:
+    """Start another gateway at the same stores, whose log is in a folder."""
+    write_back = dataclasses.replace(it.gateway.config.writeback, folder=str(folder))
+    listeners = (("main", Listen("127.0.0.1", 0)),)
+    gateway = Gateway(dataclasses.replace(it.gateway.config, listeners=listeners, writeback=write_back))
+    ready = anyio.Event()
+    it.group.start_soon(gateway.run, ready.set)
+    await ready.wait()
+    await it.wait_until(lambda: len(gateway.scheduler_loop.endpoints) == len(it.stores))
+    return gateway
+
+
+async def put_at(it: Rig, gateway: Gateway, path: str, body: bytes, **headers: str) -> None:
+    """Write an object at one of the gateways; the write has to be acknowledged."""
+    it.gateway = gateway
+    assert (await it.request("PUT", path, body, **headers)).status in (200, 201)
+
+
 def test_a_write_is_acknowledged_from_the_log_and_reaches_its_store_once(tmp_path):
     @run_async
     async def run():
@@ -142,6 +160,29 @@
     run()
 
 
+def test_writes_that_two_gateways_acknowledged_are_both_stored(tmp_path):
+    """Guards against keys that two logs both make: the store took the second gateway's write for a repeat of the first's."""
+
+    @run_async
+    async def run():
+        async with rig(config(tmp_path / "a")) as it:
+            first = it.gateway
+            second = await start_gateway(it, tmp_path / "b")
+            store = it.store_of("/school-1/a")
+            keys = [f"n{n}" for n in range(200) if it.store_of(f"/school-1/n{n}") is store][:6]
+            store.kill()
+            for number, key in enumerate(keys):
+                await put_at(it, (first, second)[number % 2], f"/school-1/{key}", key.encode())
+            await store.start(it.group)
+            for gateway in (first, second):
+                it.gateway = gateway
+                await wait_until_drained(it)
+            assert {key: stored(it, "school-1", key) for key in keys} == {key: key.encode() for key in keys}
+            assert [effects(it, key) for key in keys] == [1] * len(keys)
+
+    run()
+
+
 def test_acknowledged_writes_are_recovered_by_the_next_process_and_sent_once(tmp_path):
     """The first gateway is killed while a store is down; one of two writes had been sent."""
 
@@ -162,13 +203,7 @@
             it.gateway.write_back.drain.start_next = lambda *_: []
             log.disk.close()
             await new.start(it.group)
-            next_gateway = Gateway(
-                dataclasses.replace(it.gateway.config, listeners=(("main", Listen("127.0.0.1", 0)),))
-            )
-            ready = anyio.Event()
-            it.group.start_soon(next_gateway.run, ready.set)
-            await ready.wait()
-            it.gateway = next_gateway
+            it.gateway = await start_gateway(it, tmp_path)
             await wait_until_drained(it)
             assert effects(it, "out") == 2 and effects(it, "new") == 1
             assert stored(it, "school-1", "out") == b"fresh" and stored(it, "school-1", "new") == b"fresh"
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -23,7 +23,6 @@
 from winchdyke.config_rollout.rollout_state import ON_HOLD_MS, RolloutState
 from winchdyke.discovery import cache as endpoint_cache
 from winchdyke.discovery.records import CachedEndpoint, DiscoveryStatus
-from winchdyke.gateway.writeback import WriteBackRecord
 from winchdyke.latency_attribution import ledger, records, segments
 from winchdyke.latency_attribution.ledger import read_queue_snapshot
 from winchdyke.latency_attribution.records import Account, EndpointSum, LatencySum, MinuteSums, VolumeSum
@@ -31,6 +30,7 @@
 from winchdyke.membership import member_cache
 from winchdyke.writeback.disk import Folder
 from winchdyke.writeback.log import Log, RecoveryReport
+from winchdyke.writeback.record import WriteBackRecord
 
 DATA = Path(__file__).parent / "data"
 START_MS = 1_700_000_000_000.0
--- a/winchdyke/gateway/write_back_path.py
+++ b/winchdyke/gateway/write_back_path.py
@@ -11,9 +11,10 @@
 from winchdyke.gateway.final_response import FinalResponse
 from winchdyke.gateway.request_context import RequestContext
 from winchdyke.gateway.scheduler_loop import SchedulerLoop
-from winchdyke.gateway.writeback import WriteBack, WriteBackRecord, etag_of
+from winchdyke.gateway.writeback import WriteBack
 from winchdyke.http1 import Headers, ProtocolError, ResponseHead
 from winchdyke.writeback.log import LogError, LogFullError
+from winchdyke.writeback.record import WriteBackRecord, etag_of, new_write_key
 
 
 class WriteBackPath:
@@ -88,6 +89,7 @@
             unix_ms=time.time() * 1000,
             client_request=operation.client_request,
             body=body,
+            write_key=new_write_key(),
         )
         try:
             await self._write_back.append(record)
--- a/winchdyke/gateway/writeback.py
+++ b/winchdyke/gateway/writeback.py
@@ -9,8 +9,8 @@
 
 import asyncio
 import contextlib
-import hashlib
 import time
+import uuid
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from concurrent.futures import Future
@@ -30,6 +30,7 @@
 from winchdyke.writeback.disk import Folder, FolderLockedError
 from winchdyke.writeback.drain import DrainBounds, DrainQueue, QueuedRecord
 from winchdyke.writeback.log import Log, LogError, LogFullError
+from winchdyke.writeback.record import WriteBackRecord
 
 DRAIN_INTERVAL_SECONDS = 0.05
 MAX_REMEMBERED_IDEMPOTENCY_KEYS = 100_000
@@ -37,36 +38,6 @@
 SHUTDOWN_DRAIN_SECONDS = 5.0  # records that are left then stay in the log
 
 
-class WriteBackRecord(msgspec.Struct, array_like=True):
-    """A write as it is stored in the log.
-
-    Attributes:
-        volume: The object's volume.
-        key: The object's key.
-        class_name: Name of the request class.
-        repeat_key: The client's Idempotency-Key; empty: the client sent none.
-        passed: The client's headers that are passed to the store.
-        shard: The shard that holds the object.
-        units: The work of the write.
-        etag: The ETag that the store will give the object.
-        unix_ms: When it was acknowledged.
-        client_request: The client's own id of the request.
-        body: The object's content.
-    """
-
-    volume: str
-    key: str
-    class_name: str
-    repeat_key: str
-    passed: list[tuple[bytes, bytes]]
-    shard: int
-    units: float
-    etag: str
-    unix_ms: float
-    client_request: str
-    body: bytes
-
-
 @dataclass
 class _PendingObject:
     """The log's records of one object; ``stored`` is set once none is left."""
@@ -280,9 +251,8 @@
         if sequence not in self._preconditions and not await self._set_precondition(sequence, record):
             self._retry_later(waiting)
             return
-        request_id = f"log-{self.log.epoch}-{sequence}"
-        operation = self._operation(record, self._preconditions[sequence], request_id)
-        result = await self._execute(operation, record.body, request_id)
+        operation = self._operation(record, self._preconditions[sequence])
+        result = await self._execute(operation, record.body, _new_request_id())
         if result.outcome != "served":
             if result.last_attempt is not None and not result.last_attempt.proves_no_effect:
                 self._possibly_executed.add(sequence)
@@ -311,7 +281,7 @@
         return True
 
     @staticmethod
-    def _operation(record: WriteBackRecord, precondition: str, request_id: str) -> routes.Operation:
+    def _operation(record: WriteBackRecord, precondition: str) -> routes.Operation:
         condition = (b"if-match", precondition.encode()) if precondition else (b"if-none-match", b"*")
         return routes.Operation(
             "put",
@@ -319,7 +289,7 @@
             record.key,
             forwarded_headers=(*record.passed, condition),
             class_name=record.class_name,
-            idempotency_key=record.repeat_key or request_id,
+            idempotency_key=record.idempotency_key,
             client_request=record.client_request,
         )
 
@@ -340,7 +310,7 @@
     async def _stored_etag(self, record: WriteBackRecord) -> str | None:
         """Return the ETag of the stored object, empty: no such object; None: the store could not be queried."""
         operation = routes.Operation("head", record.volume, record.key)
-        result = await self._execute(operation, b"", f"ask-{time.monotonic_ns():x}")
+        result = await self._execute(operation, b"", _new_request_id())
         if result.outcome != "served" or (result.status != 404 and not result.etag):
             return None
         return "" if result.status == 404 else result.etag
@@ -403,6 +373,11 @@
         self._events.info("write_back_log_closed", open=len(self.log.pending_writes), **self.counts)
 
 
+def _new_request_id() -> str:
+    """Return an id that no other request has, at whichever gateway: stores may remember it."""
+    return uuid.uuid4().hex
+
+
 def _check_classes(config: Config) -> None:
     request_classes = {kind.rules.name: kind.rules for kind in config.kinds}
     for name in config.writeback.classes:
@@ -427,8 +402,3 @@
         """Return the weight of a volume's plan."""
         rule = self._rule_of(volume)
         return self._plan_weights.get(rule.plan, default) if rule is not None else default
-
-
-def etag_of(body: bytes) -> str:
-    """Return the ETag that a store gives an object that is put in one piece (``docs/store-protocol.md``)."""
-    return f'"{hashlib.md5(body, usedforsecurity=False).hexdigest()}"'
