Order acknowledged writes by stamps, so that a late record never replaces a newer write

Cause: a record was sent under If-Match on what its store held when the record was first sent, however late that was; nothing written down at its acknowledgement took part.

Change: a write has a stamp (time of its acknowledgement, or of its attempt where it goes through, and the name of the process's clock), which stores keep with the object and report. Before each sending the store is asked, and writeback/write_order.py, which is pure, decides: send, stored, superseded (counted and logged), or quarantined where two gateways' stamps are within the new setting clock_bound (250 ms). The stand-in store keeps stamps, also of deletions.

--- a/tests/test_back.py
+++ b/tests/test_back.py
@@ -183,6 +183,96 @@
     run()
 
 
+def halt(gateway: Gateway) -> None:
+    """Simulate a kill: nothing more is sent or written, and the lock of the log's folder is released."""
+    gateway.write_back.drain.start_next = lambda *_: []
+    gateway.write_back.log.disk.close()
+
+
+@pytest.mark.parametrize("newer", ["from the log", "through", "deletion"])
+def test_a_killed_gateways_log_does_not_replace_what_was_acknowledged_since(tmp_path, newer):
+    """Guards against a log that is recovered and writes its older content over what another gateway acknowledged."""
+
+    @run_async
+    async def run():
+        async with rig(config(tmp_path / "a", clock_bound=50.0)) as it:
+            first = it.gateway
+            second = await start_gateway(it, tmp_path / "b")
+            await put_at(it, first, "/school-1/a", b"original")
+            await wait_until_drained(it)
+            first.write_back.drain.start_next = lambda *_: []
+            await put_at(it, first, "/school-1/a", b"older")
+            halt(first)
+            await anyio.sleep(0.1)  # longer than the bound on clocks
+            it.gateway = second
+            if newer == "deletion":
+                assert (await it.request("DELETE", "/school-1/a")).status == 204
+            else:
+                condition = {"if_match": "*"} if newer == "through" else {}
+                await put_at(it, second, "/school-1/a", b"newer", **condition)
+                await wait_until_drained(it)
+            expected = None if newer == "deletion" else b"newer"
+            assert stored(it, "school-1", "a") == expected
+            it.gateway = await start_gateway(it, tmp_path / "a")
+            await wait_until_drained(it)
+            assert stored(it, "school-1", "a") == expected
+            counts = it.gateway.write_back.counts
+            assert (counts["superseded"], counts["quarantined"]) == (1, 0)
+            await it.wait_until(lambda: not it.gateway.write_back.log.pending_writes)
+
+    run()
+
+
+def test_writes_within_the_clocks_bound_are_kept_and_reported(tmp_path):
+    """Guards against two gateways' writes of one object of which one is dropped or written over on a guess."""
+
+    @run_async
+    async def run():
+        async with rig(config(tmp_path / "a", clock_bound=30_000.0)) as it:
+            first, store = it.gateway, it.store_of("/school-1/a")
+            second = await start_gateway(it, tmp_path / "b")
+            store.kill()
+            await put_at(it, first, "/school-1/a", b"one")
+            await put_at(it, first, "/school-1/a", b"two")
+            await put_at(it, second, "/school-1/a", b"three")
+            await store.start(it.group)
+            for gateway in (first, second):
+                it.gateway = gateway
+                await wait_until_drained(it)
+            kept = [len(gateway.write_back.quarantined) for gateway in (first, second)]
+            assert (stored(it, "school-1", "a"), kept) in (
+                (b"two", [0, 1]),
+                (b"three", [2, 0]),
+                (b"three", [1, 0]),
+            )
+            # A write that is kept stays in its log, and no other one does.
+            await it.wait_until(
+                lambda: [len(gateway.write_back.log.pending_writes) for gateway in (first, second)] == kept
+            )
+
+    run()
+
+
+def test_stamps_of_writes_reach_stores_and_no_client(tmp_path):
+    """Guards against writes that go through without a stamp, which a late record of another gateway would replace."""
+
+    @run_async
+    async def run():
+        async with rig(config(tmp_path, record_bytes=1000)) as it:
+            store = it.store_of("/school-1/a")
+            await put_at(it, it.gateway, "/school-1/a", b"x" * 2000)
+            through = store.object_store.written["school-1", "a"]
+            await put_at(it, it.gateway, "/school-1/a", b"y")
+            await wait_until_drained(it)
+            logged = store.object_store.written["school-1", "a"]
+            assert float(logged.split(";")[0]) > float(through.split(";")[0])
+            assert logged.split(";")[1] == through.split(";")[1]
+            answer = await it.request("GET", "/school-1/a")
+            assert answer.body == b"y" and "winchdyke-written" not in answer.headers
+
+    run()
+
+
 def test_acknowledged_writes_are_recovered_by_the_next_process_and_sent_once(tmp_path):
     """The first gateway is killed while a store is down; one of two writes had been sent."""
 
@@ -199,9 +289,7 @@
             assert (await it.request("PUT", "/school-1/new", b"fresh")).status == 200
             log = it.gateway.write_back.log
             assert len(log.pending_writes) == 2
-            # Simulates a kill: nothing more is sent or written, and the lock of the folder is released.
-            it.gateway.write_back.drain.start_next = lambda *_: []
-            log.disk.close()
+            halt(it.gateway)
             await new.start(it.group)
             it.gateway = await start_gateway(it, tmp_path)
             await wait_until_drained(it)
--- a/winchdyke/config/model.py
+++ b/winchdyke/config/model.py
@@ -79,6 +79,7 @@
     wide: int = 4
     urgent: float = 60_000.0
     remember: float = 3_600_000.0
+    clock_bound: float = 250.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/winchdyke/config/schema.py
+++ b/winchdyke/config/schema.py
@@ -162,6 +162,12 @@
                 SECONDS,
                 24 * 3600 * SECONDS,
             ),
+            "clock_bound": _time(
+                "250ms",
+                "Bound on the difference of two gateways' clocks; writes of one object that are closer can't be ordered.",
+                MS,
+                60 * SECONDS,
+            ),
         },
     ),
     "admin": BlockKind(
--- a/winchdyke/gateway/service.py
+++ b/winchdyke/gateway/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 import uuid
 from collections.abc import Callable
 
@@ -38,14 +39,16 @@
 from winchdyke.gateway.sharded_listing import LIST_OPERATIONS, ShardedListing
 from winchdyke.gateway.store_request import store_headers
 from winchdyke.gateway.write_back_path import WriteBackPath
-from winchdyke.gateway.writeback import InternalResult, WriteBack
+from winchdyke.gateway.writeback import InternalResult, WriteBack, stored_version
 from winchdyke.http1 import Bytes, Headers, RequestHead
 from winchdyke.latency_attribution.recorder import Recorder
 from winchdyke.object_api import answers, routes, store_protocol
 from winchdyke.object_api.answers import RequestError
 from winchdyke.object_api.sinks import Sink
 from winchdyke.quotas.byte_metering import ByteMeter
+from winchdyke.writeback.write_order import WriteClock
 
+STAMPED_OPERATIONS = ("put", "post", "delete", "complete-upload")
 OPERATIONS_WITH_BODY = ("put", "post", "put-part", "complete-upload")
 INTERNAL_ID_PREFIX = "own-"  # marks the ids of the gateway's internal requests
 KEY_IN_USE_RETRY_AFTER_MS = 1000.0
@@ -60,6 +63,7 @@
         clock: Monotonic time in milliseconds.
         snapshot: The configuration that applies to new requests.
         bodies: The shared limit of all retained bodies.
+        write_clock: Stamps the writes of this process.
         byte_meter: Records the debts of volumes that have a limit.
         exchanges: Runs the exchanges with stores.
         recorder: Attributes latency; None: latency is not attributed.
@@ -82,6 +86,7 @@
         self.clock = clock
         self.recorder = recorder
         self.snapshot = ConfigSnapshot(config)
+        self.write_clock = WriteClock(lambda: time.time() * 1000)
         self.bodies = BodyStore(limits.body_total, limits.body_memory)
         self.byte_meter = ByteMeter(
             clock, scheduler_loop.quota, lambda: scheduler_loop.settings.max_request_units
@@ -103,7 +108,7 @@
 
     def acknowledge_writes_from(self, write_back: WriteBack) -> None:
         """Acknowledge writes from the write-back log if their request class allows it."""
-        self._write_back_path = WriteBackPath(write_back, self.scheduler_loop, self.clock)
+        self._write_back_path = WriteBackPath(write_back, self.scheduler_loop, self.clock, self.write_clock)
 
     # Entry points
 
@@ -178,10 +183,15 @@
                 InternalCaller(), head, operation, internal_id, record, self.snapshot, source
             )
         except RequestError as error:
-            return InternalResult("failed", None, error.status, "")
+            return InternalResult("failed", None, error.status, None)
         last_outcome = outcomes.OUTCOMES_BY_CODE[record.outcomes[-1]] if record.outcomes else None
-        etag = final.response.head.get(b"etag") if final.response is not None else None
-        return InternalResult(final.outcome, last_outcome, final.status, etag or "")
+        headers = final.response.head if final.response is not None else None
+        return InternalResult(
+            final.outcome,
+            last_outcome,
+            final.status,
+            stored_version(headers) if headers is not None else None,
+        )
 
     def _begin_response(
         self, connection: ClientConnection, head: RequestHead, request_id: str, snapshot: ConfigSnapshot
@@ -390,15 +400,20 @@
         attempt: int,
         body: ReplayBody | None,
     ) -> Headers:
+        operation = context.operation
+        write_stamp = operation.write_stamp
+        if operation.name in STAMPED_OPERATIONS and not write_stamp:
+            write_stamp = self.write_clock.stamp().encode()
         return store_headers(
             self.config.gateway.name,
             self._request_classes[request.request_class],
             request,
-            context.operation,
+            operation,
             shard,
             attempt,
             body,
             context.record.config_version,
+            write_stamp,
         )
 
 
--- a/winchdyke/gateway/store_request.py
+++ b/winchdyke/gateway/store_request.py
@@ -19,6 +19,7 @@
     attempt: int,
     body: ReplayBody | None,
     config_version: int,
+    write_stamp: str,
 ) -> Headers:
     """Return the headers of an attempt, as ``docs/store-protocol.md`` defines them.
 
@@ -31,6 +32,7 @@
         attempt: Index of the attempt, from 0.
         body: The request's body; None: it has no body.
         config_version: Version of the request's configuration; 0: not stated.
+        write_stamp: The stamp of a write; empty: the operation writes no object.
     """
     headers: Headers = [
         (b"host", b"store"),
@@ -42,6 +44,8 @@
         (store_protocol.SHARD_HEADER, str(shard).encode()),
         *operation.forwarded_headers,
     ]
+    if write_stamp:
+        headers.append((store_protocol.WRITTEN_HEADER, write_stamp.encode()))
     if config_version:
         headers.append((store_protocol.CONFIG_VERSION_HEADER, str(config_version).encode()))
     if request_class.repeat_safety is api.RepeatSafety.IDEMPOTENCY_KEY:
--- a/winchdyke/gateway/write_back_path.py
+++ b/winchdyke/gateway/write_back_path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from winchdyke import placement
@@ -15,6 +14,7 @@
 from winchdyke.http1 import Headers, ProtocolError, ResponseHead
 from winchdyke.writeback.log import LogError, LogFullError
 from winchdyke.writeback.record import WriteBackRecord, etag_of, new_write_key
+from winchdyke.writeback.write_order import WriteClock
 
 
 class WriteBackPath:
@@ -24,14 +24,20 @@
         write_back: The write-back log.
         scheduler_loop: Provides the setting for Retry-After.
         clock: Monotonic time in milliseconds.
+        write_clock: Stamps the writes that are acknowledged.
     """
 
     def __init__(
-        self, write_back: WriteBack, scheduler_loop: SchedulerLoop, clock: Callable[[], float]
+        self,
+        write_back: WriteBack,
+        scheduler_loop: SchedulerLoop,
+        clock: Callable[[], float],
+        write_clock: WriteClock,
     ) -> None:
         self._write_back = write_back
         self._scheduler_loop = scheduler_loop
         self._clock = clock
+        self._write_clock = write_clock
 
     async def handle(self, context: RequestContext) -> FinalResponse | None:
         """Acknowledge a write, or wait until the log holds no write of the request's object.
@@ -77,6 +83,7 @@
 
     async def _append(self, context: RequestContext, etag: str, body: bytes) -> FinalResponse | None:
         operation = context.operation
+        stamp = self._write_clock.stamp()
         record = WriteBackRecord(
             volume=operation.volume,
             key=operation.key,
@@ -86,10 +93,11 @@
             shard=placement.shard_of(operation.volume, operation.key, context.volume.shards),
             units=context.units,
             etag=etag,
-            unix_ms=time.time() * 1000,
+            unix_ms=stamp.unix_ms,
             client_request=operation.client_request,
             body=body,
             write_key=new_write_key(),
+            clock=stamp.clock,
         )
         try:
             await self._write_back.append(record)
--- a/winchdyke/gateway/writeback.py
+++ b/winchdyke/gateway/writeback.py
@@ -1,7 +1,7 @@
 """Write-back in a running gateway: acknowledges writes from the log, and sends them to their stores after live requests.
 
 The guarantees are in ``docs/writeback.md``. Which record is sent next and what may be sent again are defined by
-``writeback/drain.py`` and ``writeback/replay.py`` and carried out here; each record is sent through the scheduler like any
+``writeback/drain.py`` and ``writeback/write_order.py`` and carried out here; each record is sent through the scheduler like any
 request.
 """
 
@@ -15,6 +15,7 @@
 from collections.abc import Awaitable, Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
+from email.utils import parsedate_to_datetime
 from pathlib import Path
 
 import anyio
@@ -25,12 +26,21 @@
 from winchdyke import interface as api
 from winchdyke.config import Config
 from winchdyke.config.model import VolumeRule
-from winchdyke.object_api import routes
+from winchdyke.http1 import ResponseHead
+from winchdyke.object_api import routes, store_protocol
 from winchdyke.writeback.commit import Committer
 from winchdyke.writeback.disk import Folder, FolderLockedError
 from winchdyke.writeback.drain import DrainBounds, DrainQueue, QueuedRecord
 from winchdyke.writeback.log import Log, LogError, LogFullError
 from winchdyke.writeback.record import WriteBackRecord
+from winchdyke.writeback.write_order import (
+    NextStep,
+    SendingHistory,
+    StoredVersion,
+    WriteStamp,
+    next_step,
+    parse_stamp,
+)
 
 DRAIN_INTERVAL_SECONDS = 0.05
 MAX_REMEMBERED_IDEMPOTENCY_KEYS = 100_000
@@ -66,13 +76,13 @@
         outcome: ``served``, ``refused``, ``failed`` or ``gone``.
         last_attempt: The outcome of its last attempt; None: there was no attempt.
         status: Its HTTP status.
-        etag: The object's ETag; empty: the response had none.
+        stored: What the response tells of the stored object; None: there was no response.
     """
 
     outcome: str
     last_attempt: api.AttemptOutcome | None
     status: int
-    etag: str
+    stored: StoredVersion | None
 
 
 Execute = Callable[[routes.Operation, bytes, str], Awaitable[InternalResult]]
@@ -115,6 +125,8 @@
         # The ETag of the stored object before a record was first sent; empty: there was no such object.
         self._preconditions: dict[int, str] = {}
         self._possibly_executed: set[int] = set()
+        # The stamp of the record that was stored last, of objects of which later records are left.
+        self._last_stored: dict[tuple[str, str], WriteStamp] = {}
         self._retry_at_ms: dict[int, float] = {}
         self._recover()
         self.committer = Committer(self.log)
@@ -248,31 +260,57 @@
         except (LogError, msgspec.DecodeError) as error:
             self._quarantine(waiting, str(error))
             return
-        if sequence not in self._preconditions and not await self._set_precondition(sequence, record):
+        stored = await self._stored_version(record)
+        if stored is None:
             self._retry_later(waiting)
             return
-        operation = self._operation(record, self._preconditions[sequence])
+        step = next_step(
+            record.stamp, record.etag, stored, self._history(sequence, record), self.settings.clock_bound
+        )
+        if step is NextStep.STORED:
+            self._complete(waiting, record)
+        elif step is NextStep.SUPERSEDED:
+            self._supersede(waiting, record, stored)
+        elif step is NextStep.QUARANTINE:
+            reason = "its store holds something else, and it can't be told which write came last"
+            self._quarantine(waiting, reason)
+        elif await self._set_precondition(sequence, stored.etag):
+            await self._send_conditionally(waiting, record, stored.etag)
+        else:
+            self._retry_later(waiting)
+
+    def _history(self, sequence: int, record: WriteBackRecord) -> SendingHistory:
+        return SendingHistory(
+            self._preconditions.get(sequence),
+            sequence in self._possibly_executed,
+            self._last_stored.get((record.volume, record.key)),
+        )
+
+    async def _send_conditionally(
+        self, waiting: QueuedRecord, record: WriteBackRecord, precondition: str
+    ) -> None:
+        """Send a record under the condition that its store holds what it held when the record's order was checked."""
+        operation = self._operation(record, precondition)
         result = await self._execute(operation, record.body, _new_request_id())
         if result.outcome != "served":
             if result.last_attempt is not None and not result.last_attempt.proves_no_effect:
-                self._possibly_executed.add(sequence)
+                self._possibly_executed.add(waiting.sequence)
             self._retry_later(waiting)
         elif result.status < 300:
-            self._complete(waiting)
-        elif result.status == 412:
-            await self._resolve_conflict(waiting, record)
+            self._complete(waiting, record)
+        elif result.status == 412:  # the object has changed since; the next sending checks the order again
+            self._retry_later(waiting)
         else:
             self._quarantine(waiting, f"its store responded with status {result.status}")
 
-    async def _set_precondition(self, sequence: int, record: WriteBackRecord) -> bool:
+    async def _set_precondition(self, sequence: int, etag: str) -> bool:
         """Record durably which version of the object the store has; return False if that fails.
 
-        This precedes the first sending of the record: after a crash the record is sent again with the same precondition,
+        This precedes the sending of the record: after a crash the record is sent again with the same precondition only,
         so that it takes effect at most once.
         """
-        etag = await self._stored_etag(record)
-        if etag is None:
-            return False
+        if self._preconditions.get(sequence) == etag:
+            return True
         try:
             await self._wait_for_sync(self.committer.mark_sending(sequence, etag.encode()))
         except LogError:
@@ -291,29 +329,18 @@
             class_name=record.class_name,
             idempotency_key=record.idempotency_key,
             client_request=record.client_request,
+            write_stamp=record.stamp.encode(),
         )
 
-    async def _resolve_conflict(self, waiting: QueuedRecord, record: WriteBackRecord) -> None:
-        """Resolve a failed precondition: the stored object has changed since before the record was first sent."""
-        etag = await self._stored_etag(record)
-        if etag is None:
-            self._retry_later(waiting)
-        elif etag == record.etag:
-            self._complete(waiting)
-        elif waiting.sequence in self._possibly_executed:
-            # See replay.action_for_content: it is unknown whether the record was executed before the other write.
-            self._quarantine(waiting, "it may have been executed, and its store holds something else now")
-        else:  # never executed: another client wrote after the precondition was determined
-            del self._preconditions[waiting.sequence]
-            self._retry_later(waiting)
-
-    async def _stored_etag(self, record: WriteBackRecord) -> str | None:
-        """Return the ETag of the stored object, empty: no such object; None: the store could not be queried."""
+    async def _stored_version(self, record: WriteBackRecord) -> StoredVersion | None:
+        """Return what the store holds of a record's object; None: the store could not be queried."""
         operation = routes.Operation("head", record.volume, record.key)
         result = await self._execute(operation, b"", _new_request_id())
-        if result.outcome != "served" or (result.status != 404 and not result.etag):
+        if result.outcome != "served" or result.stored is None:
             return None
-        return "" if result.status == 404 else result.etag
+        if result.status == 404:
+            return StoredVersion("", result.stored.stamp)
+        return result.stored if result.status < 300 and result.stored.etag else None
 
     @staticmethod
     async def _wait_for_sync(synced: Future[int]) -> int:
@@ -335,8 +362,22 @@
         self._retry_at_ms[waiting.sequence] = self._clock() + RETRY_DELAY_MS
         self.drain.finish_attempt(waiting.sequence, False)
 
-    def _complete(self, waiting: QueuedRecord) -> None:
+    def _complete(self, waiting: QueuedRecord, record: WriteBackRecord) -> None:
         self.counts["stored"] += 1
+        self._last_stored[record.volume, record.key] = record.stamp
+        self.committer.mark_done(waiting.sequence)
+        self._forget_record(waiting)
+
+    def _supersede(self, waiting: QueuedRecord, record: WriteBackRecord, stored: StoredVersion) -> None:
+        """Let go of a record whose object holds a write that was acknowledged later, here or at another gateway."""
+        self.counts["superseded"] += 1
+        self._events.info(
+            "write_back_record_superseded",
+            record=waiting.sequence,
+            object=waiting.order_key,
+            written=record.stamp.encode(),
+            stored=stored.stamp.encode() if stored.stamp is not None else "",
+        )
         self.committer.mark_done(waiting.sequence)
         self._forget_record(waiting)
 
@@ -362,6 +403,7 @@
         pending.sequences.remove(waiting.sequence)
         if not pending.sequences:
             del self._pending_objects[volume, key]
+            self._last_stored.pop((volume, key), None)
             pending.stored.set()
 
     async def stop(self) -> None:
@@ -373,6 +415,15 @@
         self._events.info("write_back_log_closed", open=len(self.log.pending_writes), **self.counts)
 
 
+def stored_version(head: ResponseHead) -> StoredVersion:
+    """Return what a store's response tells of the object that it holds."""
+    modified_ms = None
+    with contextlib.suppress(ValueError, TypeError):
+        modified_ms = parsedate_to_datetime(head.get(b"last-modified") or "").timestamp() * 1000
+    stamp = parse_stamp(head.get(store_protocol.WRITTEN_HEADER) or "")
+    return StoredVersion(head.get(b"etag") or "", stamp, modified_ms)
+
+
 def _new_request_id() -> str:
     """Return an id that no other request has, at whichever gateway: stores may remember it."""
     return uuid.uuid4().hex
--- a/winchdyke/object_api/routes.py
+++ b/winchdyke/object_api/routes.py
@@ -50,6 +50,7 @@
         class_name: The request class that the client asked for; None: selected by the settings.
         time_left_ms: The client's remaining time; None: not stated.
         client_request: The client's own id of the request; empty: none.
+        write_stamp: When a write was acknowledged, if it is sent later; empty: it is sent through.
     """
 
     name: str
@@ -66,6 +67,7 @@
     class_name: str | None = None
     time_left_ms: float | None = None
     client_request: str = ""
+    write_stamp: str = ""
 
     def target(self, key: str | None = None) -> bytes:
         """The path and query of the request to a store, in canonical form."""
--- a/winchdyke/object_api/store_protocol.py
+++ b/winchdyke/object_api/store_protocol.py
@@ -18,6 +18,7 @@
 CONFIG_VERSION_HEADER = b"winchdyke-version"  # the settings version under which the request was accepted
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 ORDER_KEY_HEADER = b"winchdyke-order-key"
+WRITTEN_HEADER = b"winchdyke-written"  # the stamp of a write; stores keep it with the object and report it
 
 # Headers of responses from stores: execution of the request, usage, load, and the state of the store.
 NOT_RUN_HEADER = b"winchdyke-not-run"
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -99,6 +99,7 @@
         objects: Content and ETag, by volume and key.
         uploads: Volume, key and received parts of each open upload.
         headers: Stored headers, by volume and key.
+        written: The stamp of the last write or deletion, by volume and key.
         part_sizes: Sizes of the parts of an object that was uploaded in parts, by volume and key.
         upload_states: Start and time of the last part (Unix ms), and headers of the object, by upload.
         completed_uploads: Volume, key and ETag, by upload.
@@ -108,6 +109,7 @@
     objects: dict[tuple[str, str], tuple[bytes, str]] = field(default_factory=dict)
     uploads: dict[str, tuple[str, str, dict[int, bytes]]] = field(default_factory=dict)
     headers: dict[tuple[str, str], list[tuple[str, str]]] = field(default_factory=dict)
+    written: dict[tuple[str, str], str] = field(default_factory=dict)
     part_sizes: dict[tuple[str, str], list[int]] = field(default_factory=dict)
     upload_states: dict[str, tuple[float, float, list[tuple[str, str]]]] = field(default_factory=dict)
     completed_uploads: dict[str, tuple[str, str, str]] = field(default_factory=dict)
@@ -545,9 +547,12 @@
         elif request.method == "DELETE":
             found = self.object_store.objects.pop((request.volume, request.key), None)
             self.object_store.headers.pop((request.volume, request.key), None)
+            self._keep_stamp(request)
             self._set_response(item, 204 if found else 404)
         else:
             self._get(request, item)
+            if written := self.object_store.written.get((request.volume, request.key)):
+                item.headers.append(("winchdyke-written", written))
 
     @staticmethod
     def _set_response(
@@ -558,6 +563,9 @@
         if status != 204:
             item.headers.append(("content-length", str(len(body))))
 
+    def _keep_stamp(self, request: ParsedRequest) -> None:
+        self.object_store.written[request.volume, request.key] = request.headers.get("winchdyke-written", "")
+
     @staticmethod
     def _headers_to_store(request: ParsedRequest) -> list[tuple[str, str]]:
         """Return the headers that are stored with an object: representation headers and user metadata."""
@@ -585,6 +593,7 @@
         data = bytes(request.body)
         tag = tag or f'"{hashlib.md5(data, usedforsecurity=False).hexdigest()}"'
         self.object_store.objects[name] = (data, tag)
+        self._keep_stamp(request)
         self.object_store.part_sizes.pop(name, None)
         self.object_store.headers[name] = [
             *(stored_headers or self._headers_to_store(request)),
--- a/winchdyke/writeback/record.py
+++ b/winchdyke/writeback/record.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from winchdyke.writeback.write_order import WriteStamp
+
 
 class WriteBackRecord(msgspec.Struct, array_like=True):
     """A write as it is stored in the log; fields are added at the end, so that logs of earlier releases are read.
@@ -24,6 +26,7 @@
         client_request: The client's own id of the request.
         body: The object's content.
         write_key: Names the write among those of all gateways; empty in records of earlier releases.
+        clock: The name of the clock of ``unix_ms``; empty in records of earlier releases.
     """
 
     volume: str
@@ -38,6 +41,12 @@
     client_request: str
     body: bytes
     write_key: str = ""
+    clock: str = ""
+
+    @property
+    def stamp(self) -> WriteStamp:
+        """The write's place in the order of acknowledged writes."""
+        return WriteStamp(self.unix_ms, self.clock)
 
     @property
     def idempotency_key(self) -> str:
