Keep nothing of a request that has ended, whatever shard, volume or deadline it names

What users saw: one client that sent small requests for ever new shards took a gateway from 17 MB over its limit of 80 within 25 s.

And each request left its time in the retry budget until somebody asked for a retry, in a gateway without retries for ever.

Change: a shard that was never listed is refused before anything is made of it; beyond 2,048 volumes, quotas that a new one would equal are forgotten, so that no limit is shaken off; the budget drops times with each request; a timer is set for the longest deadline of a class at most, and again where a client waits longer; refusals are forgotten as later ones come. scheduling/ changed because the cause is there.

--- a/winchdyke/gateway/scheduler_loop.py
+++ b/winchdyke/gateway/scheduler_loop.py
@@ -172,11 +172,14 @@
         self._attach_observer()
 
     def volumes_with_quota(self, start: int = 0) -> list[str]:
-        """Return the volumes that have a quota, in the order of their first request, from index ``start`` on."""
+        """Return the volumes that have a quota, without the first ``start`` that ever had one.
+
+        A few of these may be returned as well, if quotas were forgotten since.
+        """
         scheduler = self._scheduler
         if not isinstance(scheduler, Scheduler):
             return []
-        return list(islice(scheduler.quotas, start, None))
+        return list(islice(scheduler.quotas, max(0, start - scheduler.quotas_forgotten), None))
 
     def apply_settings(self, settings: api.Settings, plans: Mapping[str, api.Plan]) -> int:
         """Apply other settings and plans from the next batch on; return the number of quotas that changed."""
--- a/winchdyke/scheduling/admission.py
+++ b/winchdyke/scheduling/admission.py
@@ -8,6 +8,7 @@
 from winchdyke.scheduling.quota import VolumeQuota
 from winchdyke.scheduling.shard import Shard
 from winchdyke.scheduling.state import SchedulerState
+from winchdyke.scheduling.unused_quotas import forget_unused_quotas
 
 ANSWER_MARGIN_TICKS = 2  # a request is answered this many clock ticks before its deadline
 
@@ -16,11 +17,13 @@
     """Accepts a new request: computes its deadlines, sets its deadline timer, and queues or rejects it."""
     now = state.now
     request_class = state.classes[request.request_class]
+    forget_unused_quotas(state)
     quota = _quota_of(state, request)
     quota.sharing_gateways = max(quota.sharing_gateways, request.sharing_gateways)
     quota.refill(now)
     pending = PendingRequest(request, request_class, quota, now)
     state.requests[request.request_id] = pending
+    quota.open_requests += 1
     time_left_ms = max(0.0, request.time_left_ms - ANSWER_MARGIN_TICKS * state.settings.clock_tick_ms)
     pending.deadline_ms = now + time_left_ms
     pending.first_received_at_ms = _first_received_at_ms(state, request, request_class)
@@ -28,19 +31,31 @@
         pending.first_received_at_ms + request_class.latency_objective_ms, pending.deadline_ms
     )
     state.retry_budget.record_request(now)
-    state.last_timer_id += 1
-    state.deadline_timers[state.last_timer_id] = request.request_id
-    state.actions.append(api.SetTimer(state.last_timer_id, time_left_ms))
+    set_deadline_timer(state, pending)
     enqueue(state, pending)
 
 
+def set_deadline_timer(state: SchedulerState, pending: PendingRequest) -> None:
+    """Sets a timer for a request's deadline, or for a part of the time until then if its client waits very long.
+
+    Timers outlive their requests, so that one with a deadline of days would be kept for days.
+    """
+    time_left_ms = max(0.0, pending.deadline_ms - state.now)
+    state.last_timer_id += 1
+    state.deadline_timers[state.last_timer_id] = pending.request.request_id
+    state.actions.append(api.SetTimer(state.last_timer_id, min(time_left_ms, state.longest_deadline_ms)))
+
+
 def enqueue(state: SchedulerState, pending: PendingRequest) -> None:
     """Queues a request at its shard, or at one chosen for a new object; rejects it if it cannot be served."""
     request = pending.request
     if pending.needs_placement:
         endpoint = _endpoint_for_new_object(state)
         pending.shard = endpoint.shard if endpoint else -1
-    shard = state.shards[pending.shard]
+    shard = state.shards.get(pending.shard)
+    if shard is None:  # no endpoint was ever listed for it: a client may have made up its number
+        reject(state, pending)
+        return
     if request.shard >= 0:
         shard.quotas[request.volume] = pending.quota
         pending.quota.shards.add(request.shard)
@@ -59,17 +74,31 @@
         state.actions.append(api.ShedRequest(request.request_id, state.settings.max_retry_after_ms))
     else:
         state.actions.append(api.FailRequest(request.request_id))
-    state.shed_requests[request.volume, request.key or request.request_id] = pending.first_received_at_ms
+    _remember_shed(state, pending)
     finish(state, pending)
 
 
+def _remember_shed(state: SchedulerState, pending: PendingRequest) -> None:
+    """Remembers when a request was first received, for its retry; forgets those whose retries would come too late."""
+    request = pending.request
+    shed_requests = state.shed_requests
+    shed_requests[request.volume, request.key or request.request_id] = pending.first_received_at_ms
+    while True:
+        oldest = next(iter(shed_requests))
+        if state.now - shed_requests[oldest] < state.longest_deadline_ms or len(shed_requests) == 1:
+            return
+        del shed_requests[oldest]
+
+
 def finish(state: SchedulerState, pending: PendingRequest) -> None:
     """Marks a request as finished, and deletes it unless an attempt is still in flight."""
     request_id = pending.request.request_id
     pending.finished = True
-    state.shards[pending.shard].queue.pop(request_id, None)
-    if not pending.attempts_in_flight:
-        state.requests.pop(request_id, None)
+    shard = state.shards.get(pending.shard)
+    if shard is not None:
+        shard.queue.pop(request_id, None)
+    if not pending.attempts_in_flight and state.requests.pop(request_id, None) is not None:
+        pending.quota.open_requests -= 1
 
 
 def cannot_be_served(state: SchedulerState, pending: PendingRequest, shard: Shard) -> bool:
--- a/winchdyke/scheduling/endpoint_health.py
+++ b/winchdyke/scheduling/endpoint_health.py
@@ -7,6 +7,7 @@
 from winchdyke.scheduling.concurrency_limit import INITIAL_LIMIT, Gradient2Limit
 from winchdyke.scheduling.endpoint_state import EndpointState
 from winchdyke.scheduling.pending_request import PendingRequest
+from winchdyke.scheduling.shard import Shard
 from winchdyke.scheduling.state import (
     MAX_WATCH_BACKOFF_MS,
     SAFE_LATENCY_FACTOR,
@@ -155,12 +156,14 @@
 def _apply_entry(state: SchedulerState, entry: api.Endpoint) -> bool:
     """Applies one entry of the endpoint list. Returns whether it shows that the endpoint has restarted."""
     endpoint = state.endpoints.get(entry.name) or EndpointState(entry, state.now)
-    state.shards[endpoint.shard].endpoints.pop(endpoint.name, None)
+    former_shard = state.shards.get(endpoint.shard)
+    if former_shard is not None:
+        former_shard.endpoints.pop(endpoint.name, None)
     endpoint.ready = entry.status is api.EndpointStatus.READY
     endpoint.shard = entry.shard
     endpoint.removed = entry.status is api.EndpointStatus.REMOVED
     state.endpoints[endpoint.name] = endpoint
-    state.shards[endpoint.shard].endpoints[endpoint.name] = endpoint
+    state.shards.setdefault(endpoint.shard, Shard()).endpoints[endpoint.name] = endpoint
     if not entry.started_at_ms or entry.started_at_ms <= endpoint.started_at_ms:
         return False
     endpoint.begin_slow_start(entry.started_at_ms, state.now, state.random.random())
--- a/winchdyke/scheduling/quota.py
+++ b/winchdyke/scheduling/quota.py
@@ -8,6 +8,8 @@
 RATE_HALF_LIFE_MS = 1500.0  # half-life of the volume's rate; close to the 1 s over which plans are measured
 USAGE_REPORT_LIFETIME_MS = 2 * RATE_HALF_LIFE_MS
 NEVER_MS = -1e18
+ROUNDING_UNITS = 1e-6
+NEGLIGIBLE_UNITS_PER_S = 0.01
 
 
 class VolumeQuota:
@@ -26,6 +28,7 @@
         reported_at_ms: When the last usage report arrived; ``NEVER_MS`` if none has.
         gateway_fraction: This gateway's share of the reservation, from 0 to 1.
         shards: Shards that requests for the volume at this gateway have used.
+        open_requests: Number of its requests that are queued or have an attempt in flight.
         reserved_units: Balance of the reservation's bucket; negative after a request has overdrawn it.
         limit_units: Balance of the limit's bucket.
     """
@@ -41,6 +44,7 @@
         self.reported_at_ms = NEVER_MS
         self.gateway_fraction = 1.0
         self.shards: set[int] = set()
+        self.open_requests = 0
         # Both buckets start empty, as a restarted gateway cannot know what it or others have just spent.
         self.reserved_units = 0.0
         self.limit_units = 0.0
@@ -61,6 +65,25 @@
             self.limit_units + plan.limit_units_per_s / self.sharing_gateways * seconds,
         )
 
+    def is_like_new(self, created_at_ms: float, now: float) -> bool:
+        """Refills the quota, and returns whether one that is created now would allow the same.
+
+        Args:
+            created_at_ms: The time from which a new quota accrues.
+            now: The present time.
+        """
+        if self.open_requests or now - self.reported_at_ms < USAGE_REPORT_LIFETIME_MS:
+            return False
+        self.refill(now)
+        new = VolumeQuota(self.settings, self.plan, created_at_ms)
+        new.sharing_gateways = self.sharing_gateways
+        new.refill(now)
+        has_reserved = not self.plan.reserved_units_per_s or (
+            self.reserved_units >= new.reserved_units - ROUNDING_UNITS
+        )
+        has_limit = not self.plan.limit_units_per_s or self.limit_units >= new.limit_units - ROUNDING_UNITS
+        return has_reserved and has_limit and self.own_units_per_s < NEGLIGIBLE_UNITS_PER_S
+
     def record_sent(self, units: float) -> None:
         """Charges the first attempt of a request to the reservation, which one request may overdraw."""
         self.reserved_units = max(self.reserved_units - units, -units)
--- a/winchdyke/scheduling/retry_budget.py
+++ b/winchdyke/scheduling/retry_budget.py
@@ -8,7 +8,7 @@
 
 
 class RetryBudget:
-    """Counts requests and retries within the window given in the settings."""
+    """Counts requests and retries within the window given in the settings; earlier ones are not kept."""
 
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
@@ -18,6 +18,7 @@
     def record_request(self, now: float) -> None:
         """Counts a request that has arrived."""
         self.request_times.append(now)
+        self._discard_expired(now)
 
     def record_retry(self, now: float) -> None:
         """Counts a retry that is started."""
@@ -26,12 +27,15 @@
     def allows(self, now: float) -> bool:
         """Returns whether a retry may be started now."""
         settings = self.settings
-        window_start = now - settings.retry_budget_window_ms
-        _discard_until(self.request_times, window_start)
-        _discard_until(self.retry_times, window_start - settings.clock_tick_ms)
+        self._discard_expired(now)
         max_retries = settings.retry_budget_base + settings.retry_budget_ratio * len(self.request_times)
         return not settings.retry_budget_window_ms or len(self.retry_times) + 1 <= max_retries
 
+    def _discard_expired(self, now: float) -> None:
+        window_start = now - self.settings.retry_budget_window_ms
+        _discard_until(self.request_times, window_start)
+        _discard_until(self.retry_times, window_start - self.settings.clock_tick_ms)
+
 
 def _discard_until(times: deque[float], end: float) -> None:
     """Removes the times up to and including ``end`` from a sorted queue."""
--- a/winchdyke/scheduling/scheduler.py
+++ b/winchdyke/scheduling/scheduler.py
@@ -4,7 +4,14 @@
 
 from winchdyke import interface as api
 from winchdyke.interface import AttemptOutcome
-from winchdyke.scheduling.admission import accept_request, enqueue, finish, reject
+from winchdyke.scheduling.admission import (
+    ANSWER_MARGIN_TICKS,
+    accept_request,
+    enqueue,
+    finish,
+    reject,
+    set_deadline_timer,
+)
 from winchdyke.scheduling.dispatch import dispatch_shard
 from winchdyke.scheduling.endpoint_health import apply_endpoint_list, learn_from_attempt
 from winchdyke.scheduling.maintenance import sweep
@@ -84,7 +91,11 @@
 
     def _on_deadline(self, timer_id: int) -> None:
         pending = self.requests.get(self.deadline_timers.pop(timer_id, ""))
-        if pending and not pending.finished and not pending.attempts_in_flight:
+        if not pending or pending.finished:
+            return
+        if pending.deadline_ms - self.now > ANSWER_MARGIN_TICKS * self.settings.clock_tick_ms:
+            set_deadline_timer(self, pending)
+        elif not pending.attempts_in_flight:
             reject(self, pending)
 
     def _on_client_disconnected(self, request_id: str) -> None:
--- a/winchdyke/scheduling/state.py
+++ b/winchdyke/scheduling/state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict
 
 from winchdyke import interface as api
 from winchdyke.scheduling.endpoint_state import EndpointState
@@ -38,11 +37,13 @@
         longest_deadline_ms: The longest deadline of any class.
         unit_cost_ms: Time per unit without congestion, by class, learned from latencies.
         endpoints: Endpoints by name.
-        quotas: Quotas by volume.
+        quotas: Quotas by volume, in the order of their creation.
+        quotas_forgotten: How many quotas were dropped so far.
+        quotas_to_examine: Names of volumes whose quotas are examined next while there are too many.
         requests: Requests that are not finished or have an attempt in flight, by id, in order of arrival.
         deadline_timers: The request id of each deadline timer.
         shed_requests: When rejected requests were first received, by volume and key.
-        shards: Shards by number.
+        shards: Shards by number, of those that an endpoint has been listed for.
         shards_with_queue: Numbers of the shards that may have queued requests.
         settling_keys: By key, when the pause ends that follows an attempt that may still be executed.
         retry_budget: The retry budget.
@@ -73,10 +74,12 @@
         }
         self.endpoints: dict[str, EndpointState] = {}
         self.quotas: dict[str, VolumeQuota] = {}
+        self.quotas_forgotten = 0
+        self.quotas_to_examine: list[str] = []
         self.requests: dict[str, PendingRequest] = {}
         self.deadline_timers: dict[int, str] = {}
         self.shed_requests: dict[tuple[str, str], float] = {}
-        self.shards: defaultdict[int, Shard] = defaultdict(Shard)
+        self.shards: dict[int, Shard] = {}
         self.shards_with_queue: set[int] = set()
         self.settling_keys: dict[str, float] = {}
         self.retry_budget = RetryBudget(settings)
