Find a client's close behind whatever it sent, and look for it before each attempt

What users saw: clients that sent much at once and closed had requests sent on up to 309 ms after their close (150 ms are granted), and an id could run beside itself when it came again after its client had left.

Cause: behind the 64 KiB that are kept, 1 MiB was dropped between two checks, so a close behind 6.5 MB was found after more than half a second; and before an attempt on a kept connection to a store nobody looked.

Change: what comes behind the limit is dropped as it comes, without a copy and within each turn's budget, up to 64 MiB between two checks; before each attempt the kernel is asked for a close, also behind unread data. An id is in use while an attempt for it is under way, and for order_settle_ms after one that may still run. winchdyke serve notices a close behind unread requests.

--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -636,6 +636,22 @@
     run()
 
 
+def test_a_close_behind_unread_requests_is_noticed_while_the_first_one_is_under_way():
+    """Guards against work for a client that sent much at once and has left: receiving is paused, and tells nothing."""
+
+    @run_async
+    async def run():
+        async with rig(unit_ms=3000.0) as it:
+            peer = await it.connect()
+            request = f"GET {READ} HTTP/1.1\r\nhost: t\r\n\r\n".encode()
+            await peer.stream.send(request * (200_000 // len(request)))
+            await it.wait_until(lambda: len(it.gateway.scheduler_loop.open_requests) == 1)
+            await peer.stream.aclose()
+            await it.wait_until(lambda: not it.gateway.scheduler_loop.open_requests, 1.0)
+
+    run()
+
+
 def test_a_body_that_arrived_with_its_head_ends_without_more_data():
     """If the codec asked for more data here, the request would wait until the client's deadline."""
     from winchdyke.http1 import EndOfBody, RequestHead, ServerCodec
--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -78,9 +78,9 @@
         self._data_arrived = anyio.Event()
         self._reading_resumed = anyio.Event()
         self._scope = anyio.CancelScope()
-        # Registered for no events, because poll() always reports errors and hang-ups.
-        self._reset_poll = select.poll()
-        self._reset_poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), 0)
+        # Errors and hang-ups are always reported.
+        self._close_poll = select.poll()
+        self._close_poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLRDHUP)
 
     @property
     def stream(self) -> SocketStream:
@@ -102,14 +102,17 @@
                 await anyio.aclose_forcefully(self._stream)
 
     def check_for_reset(self) -> None:
-        """Detect a reset by a client whose data is unread, and call ``on_disconnect``.
+        """Detect a reset or a close by a client whose data is unread, and call ``on_disconnect``.
 
-        While receiving is paused, the transport does not report a reset. An orderly close is detected only once all data
-        before it has been read.
+        While receiving is paused, the transport reports neither. An orderly close counts once the request's body has been read:
+        before that, the unread data is a part of the request.
         """
-        if self.disconnected or self._unread_bytes <= MAX_READ_AHEAD_BYTES or not self._reset_poll.poll(0):
+        if self.disconnected or self._unread_bytes <= MAX_READ_AHEAD_BYTES:
             return
-        self._set_disconnected()
+        events = sum(event for _, event in self._close_poll.poll(0))
+        was_reset = events & (select.POLLERR | select.POLLHUP)
+        if was_reset or (events and self.codec.body_done):
+            self._set_disconnected()
 
     def _set_disconnected(self) -> None:
         self.disconnected = True
--- a/winchdyke/peer_limits/turn_budget.py
+++ b/winchdyke/peer_limits/turn_budget.py
@@ -14,9 +14,15 @@
 # What one peer may use before the others continue; enough for a request without a long body.
 UNITS_PER_PEER = 64
 RECEIVED_BYTES_PER_UNIT = 4 * 1024
+DISCARDED_BYTES_PER_UNIT = 16 * 1024
 RECEIVE_UNITS = 2  # the work of reading from a socket once
 
 
+def discard_units(discarded_bytes: int) -> int:
+    """Return the work of dropping this many bytes from a socket once, which are neither copied nor parsed."""
+    return RECEIVE_UNITS + discarded_bytes // DISCARDED_BYTES_PER_UNIT
+
+
 def receive_units(received_bytes: int) -> int:
     """Return the work of reading this many bytes from a socket."""
     return RECEIVE_UNITS + received_bytes // RECEIVED_BYTES_PER_UNIT
--- a/winchdyke/platform/__init__.py
+++ b/winchdyke/platform/__init__.py
@@ -3,5 +3,5 @@
 The scheduler makes all decisions; this package does the I/O on raw sockets. Its entry points are
 ``python -m winchdyke.platform``, ``service.PlatformGateway`` and ``configuration.read_environment``. It may
 import ``interface``, ``settings``, ``http1`` and ``object_api.answers``, and of ``gateway`` the scheduler loop,
-the outcomes, the logs and the errno list of ``pool``. See ``docs/platform.md``.
+the outcomes, the logs and the errno list of ``pool``, and of ``scheduling`` which outcomes may still run. See ``docs/platform.md``.
 """
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -11,7 +11,7 @@
 from winchdyke.http1 import Headers, ProtocolError, ServerCodec
 from winchdyke.object_api import answers
 from winchdyke.peer_limits.memory_account import MemoryCharge
-from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, receive_units
+from winchdyke.peer_limits.turn_budget import UNITS_PER_PEER, discard_units, receive_units
 from winchdyke.platform import sockets
 from winchdyke.platform.client_request import RequestProgress, RequestReader
 from winchdyke.platform.peer_memory import CONNECTION_OBJECTS_BYTES
@@ -21,8 +21,11 @@
 
 # Buffered while a response is pending. Data beyond this limit is discarded and answered with 413.
 MAX_PIPELINED_BYTES = 64 * 1024
-# The limit on data discarded in the LINGERING state, or between two timeout checks while a response is pending.
-MAX_DISCARDED_BYTES = 1024 * 1024
+MAX_LINGERING_BYTES = 1024 * 1024  # the limit on data discarded in the LINGERING state
+# The limit on data discarded between two timeout checks while a response is pending. It is more than the kernels of both
+# sides hold of a client that has closed, so its close is found within that time.
+MAX_DISCARDED_BYTES = 64 * 1024 * 1024
+MAX_DISCARDS_PER_TURN = 16  # reads of one connection in a turn of the event loop
 ERROR_HEAD_BYTES = 1024
 RESPONSE_UNITS = 20  # work of writing a response, in units of the turn budget
 READY_BODY = b"ready\n"
@@ -116,6 +119,9 @@
         if self._connections.turn_budget.exhausted:
             self._defer()
             return
+        if self._pipeline_overflowed and self.state in RESPONDING_STATES:
+            self._discard_unread()
+            return
         max_bytes = self._readable_bytes()
         if not max_bytes:
             return
@@ -160,7 +166,7 @@
     def _on_data(self, data: bytes) -> None:
         if self.state is ConnectionState.LINGERING:
             self._discarded_bytes += len(data)
-            if not data or self._discarded_bytes > MAX_DISCARDED_BYTES:
+            if not data or self._discarded_bytes > MAX_LINGERING_BYTES:
                 self.close()
         elif not data:
             self.close()
@@ -174,8 +180,7 @@
         """Buffer data that arrives while a response is pending.
 
         It is discarded beyond ``MAX_PIPELINED_BYTES``, and if the memory for requests is full.
-        Once bytes were discarded, later bytes can't be parsed as requests and are discarded as well. Reading
-        continues beyond the limit, so that a disconnect after the discarded bytes is noticed.
+        Once bytes were discarded, later bytes can't be parsed as requests and are discarded as well.
         """
         self._pipelined_bytes += len(data)
         has_room = len(data) <= self._connections.memory.requests.available_bytes
@@ -184,9 +189,29 @@
             return
         self._pipeline_overflowed = True
         self._discarded_bytes += len(data)
-        if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            # Reading pauses until the next timeout check, so that one client can't keep the event loop busy.
-            self._pause_reading()
+
+    def _discard_unread(self) -> None:
+        """Drop what the client sends behind discarded data, so that its disconnect is noticed however much that is."""
+        budget = self._connections.turn_budget
+        for _ in range(MAX_DISCARDS_PER_TURN):
+            if budget.exhausted:
+                self._defer()
+                return
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                # Reading pauses until the next timeout check, so that one client can't keep the event loop busy.
+                self._pause_reading()
+                return
+            try:
+                discarded_bytes = sockets.discard(self.sock)
+            except BlockingIOError:
+                return
+            except OSError:
+                discarded_bytes = 0
+            if not discarded_bytes:
+                self.close()
+                return
+            self._discarded_bytes += discarded_bytes
+            budget.spend(discard_units(discarded_bytes))
 
     def _pause_reading(self) -> None:
         if not self._reading_paused:
@@ -204,12 +229,19 @@
     def is_still_connected(self) -> bool:
         """Close the connection if its socket reports a disconnect; return whether it is still open.
 
-        The socket may already report a disconnect that the event loop has not delivered yet.
+        The socket may already report a disconnect that the event loop has not delivered yet, or that lies behind
+        data that the gateway has not read.
         """
-        if self.state is not ConnectionState.CLOSED and sockets.peer_has_closed(self.sock):
+        if self.state is not ConnectionState.CLOSED and self._peer_has_left():
             self.close()
         return self.state is not ConnectionState.CLOSED
 
+    def _peer_has_left(self) -> bool:
+        if self.state is ConnectionState.HALF_CLOSED:
+            # Closing a socket with unread data resets it, and the client may still be reading its last response.
+            return sockets.is_at_end(self.sock)
+        return sockets.peer_has_closed(self.sock)
+
     def process_pending(self) -> None:
         """Parse buffered data if there is any, else read data that is waiting in the socket."""
         has_next_request = self._reader.codec.has_buffered_data or self._pipeline_overflowed
--- a/winchdyke/platform/request_forwarding.py
+++ b/winchdyke/platform/request_forwarding.py
@@ -17,6 +17,7 @@
 from winchdyke.platform.client_request import request_memory_bytes
 from winchdyke.platform.endpoint_directory import EndpointDirectory
 from winchdyke.platform.protocol import AttemptResult, ParsedRequest
+from winchdyke.platform.settling_requests import SettlingRequests
 from winchdyke.platform.upstream_attempt import UpstreamAttempt
 from winchdyke.platform.upstream_pool import UpstreamPool
 
@@ -74,6 +75,7 @@
         self._endpoints = endpoints
         self._clock = clock
         self.counts: Counter[str] = Counter()
+        self._settling = SettlingRequests(scheduler_loop.settings)
 
     def accept(
         self, client: ClientConnection, parsed: ParsedRequest, received_at_ms: float, respond_by_ms: float
@@ -81,13 +83,17 @@
         """Submit a request to the scheduler.
 
         Its time left counts from ``received_at_ms`` and ends at ``respond_by_ms`` at the latest. Raises
-        ProtocolError 409 if a request with the same id is open.
+        ProtocolError 409 if a request with the same id is open, or may still run after its client has left.
         """
         request = parsed.request
         loop = self._scheduler_loop
-        if request.request_id in loop.open_requests or request.request_id in loop.disconnected_requests:
-            raise ProtocolError(409, "id-in-use", "a request with this Req-Id is still open")
         now_ms = self._clock()
+        if (
+            request.request_id in loop.open_requests
+            or request.request_id in loop.disconnected_requests
+            or self._settling.contains(request.request_id, now_ms)
+        ):
+            raise ProtocolError(409, "id-in-use", "a request with this Req-Id is still open")
         time_left_ms = request.time_left_ms - max(0.0, now_ms - received_at_ms)
         time_left_ms = min(time_left_ms, respond_by_ms - now_ms)
         self.counts["requests_accepted"] += 1
@@ -118,7 +124,8 @@
         if action.timeout_ms:
             deadline_ms = min(deadline_ms, now_ms + action.timeout_ms)
         address = self._endpoints.addresses.get(action.endpoint)
-        if address is None or deadline_ms <= now_ms:
+        # The client may have left since the scheduler was last told of anything.
+        if address is None or deadline_ms <= now_ms or not forwarded.client.is_still_connected():
             result = AttemptResult(AttemptOutcome.NOT_SENT)
             self._on_attempt_ended(forwarded, number, action.endpoint, result, 0.0, b"")
             return
@@ -160,6 +167,8 @@
         forwarded.on_cancel = None
         forwarded.on_abandon = None
         self.counts[outcome.name] += 1
+        request_class = forwarded.request.request.request_class
+        self._settling.record(forwarded.request_id, request_class, outcome, self._clock())
         served = outcome is AttemptOutcome.SERVED and not forwarded.finished
         self._scheduler_loop.attempt_ended(
             forwarded,
--- a/winchdyke/platform/sockets.py
+++ b/winchdyke/platform/sockets.py
@@ -21,6 +21,7 @@
 TIMESPEC = struct.Struct("@qq")
 ANCILLARY_BYTES = socket.CMSG_SPACE(TIMESPEC.size)
 MAX_RECEIVE_BYTES = 64 * 1024
+_discarded = bytearray(MAX_RECEIVE_BYTES)  # never read
 
 
 def configure(sock: socket.socket) -> None:
@@ -76,7 +77,7 @@
     return False
 
 
-def peer_has_closed(sock: socket.socket) -> bool:
+def is_at_end(sock: socket.socket) -> bool:
     """Return whether the peer has closed or reset the connection and no data is unread. Consumes nothing."""
     try:
         return not sock.recv(1, socket.MSG_PEEK)
@@ -86,6 +87,21 @@
         return True
 
 
+def peer_has_closed(sock: socket.socket) -> bool:
+    """Return whether the kernel has received the peer's close or reset, also behind unread data. Consumes nothing."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)  # poll() always reports errors and hang-ups too
+    return bool(poll.poll(0))
+
+
+def discard(sock: socket.socket) -> int:
+    """Read up to ``MAX_RECEIVE_BYTES`` and drop them, on Linux without copying them; return their number, 0 at the end.
+
+    Raises BlockingIOError if there is no data, another OSError if the connection is broken.
+    """
+    return sock.recv_into(_discarded, MAX_RECEIVE_BYTES, socket.MSG_TRUNC)
+
+
 def connect_has_finished(sock: socket.socket) -> bool:
     """Return whether a connect has either succeeded or failed."""
     poll = select.poll()
