--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -76,7 +76,7 @@
     Mutant("accounts begin full", QUOTA, "self.limit_units = 0.0", "self.limit_units = plan.limit_burst_units", test="test_a_request_that_its_volumes_limit_cannot_admit_in_time_is_shed_at_once"),
     Mutant("budget never asked", DISPATCH, "return not pending.attempts or state.retry_budget.allows(state.now)", "return True"),
     Mutant("budget never spent", DISPATCH, "state.retry_budget.record_retry(now)", "pass"),
-    Mutant("budget window a third", BUDGET, "window_start = now - settings.retry_budget_window_ms", "window_start = now - settings.retry_budget_window_ms / 3"),
+    Mutant("budget window a third", BUDGET, "window_start = now - self.settings.retry_budget_window_ms", "window_start = now - self.settings.retry_budget_window_ms / 3"),
     Mutant("budget share tripled", BUDGET, "settings.retry_budget_ratio * len(self.request_times)", "3 * settings.retry_budget_ratio * len(self.request_times)"),
     Mutant("attempts of a request not counted", ADMISSION, "if len(pending.attempts) >= state.settings.max_attempts:", "if False:"),
     Mutant("cold bound never asked", DISPATCH, "if not endpoint.admits_during_slow_start(\n            state.settings,\n            now,\n            pending.request.units,\n            shard.throughput_units_per_s,\n            state.gateways_sharing_a_shard,\n        ):", "if False:"),
--- a/fuzz/datagrams.py
+++ b/fuzz/datagrams.py
@@ -11,9 +11,9 @@
 
 import sys
 
-import atheris
+from instrumentation import instrumented
 
-with atheris.instrument_imports(include=["winchdyke.membership"]):
+with instrumented("winchdyke.membership"):
     from winchdyke.membership import datagrams, events
     from winchdyke.membership.errors import MessageRejectedError
     from winchdyke.membership.swim import SwimProtocol
@@ -62,6 +62,8 @@
 
 def main() -> None:
     """Fuzzes until libFuzzer ends."""
+    import atheris
+
     atheris.Setup(sys.argv, fuzz_one_input)
     atheris.Fuzz()
 
--- a/fuzz/signatures.py
+++ b/fuzz/signatures.py
@@ -10,9 +10,9 @@
 
 import sys
 
-import atheris
+from instrumentation import instrumented
 
-with atheris.instrument_imports(include=["winchdyke.auth", "winchdyke.s3", "winchdyke.object_api"]):
+with instrumented("winchdyke.auth", "winchdyke.s3", "winchdyke.object_api"):
     from winchdyke.auth.sigv4 import (
         AuthError,
         SignableRequest,
@@ -101,6 +101,8 @@
 
 def main() -> None:
     """Fuzz until libFuzzer's options end the run."""
+    import atheris
+
     atheris.Setup(sys.argv, run_input)
     atheris.Fuzz()
 
