Read no request ahead while less than half of the memory for requests is available

What users saw: with hundreds of clients that send 200 requests at once, usual clients beside them had their first request answered with 408 after 2.4 s (32 MB: 5 of 24 answers beside the mixed load, 10 of 15 beside such clients alone).

Cause: the account bounds what is read ahead in sum, but those who came first had all of it, up to 64 KiB each; the first reads of others waited behind answers that take seconds.

Change: while less than half of the account is available, a first read takes 4 KiB, and nothing more is read of a client whose response is pending; it waits in the kernel, and a close behind it is found before each attempt and by the next check. The test of requests sent ahead with a full account expected a 413 for what had been dropped; now nothing is dropped, and it expects all twenty answers in its place, and the same bound on memory.

--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -169,7 +169,7 @@
 
 
 def test_requests_sent_ahead_are_not_buffered_while_the_memory_is_full(tmp_path):
-    # Guards against buffers for pipelined requests that add up over all connections; the pending one is answered.
+    # Guards against buffers for pipelined requests that add up over all connections, and against requests that are lost for it.
     answers = asyncio.Event()
 
     async def respond(writer: asyncio.StreamWriter, head: bytes, number: int) -> None:
@@ -185,17 +185,47 @@
             requests.limit_bytes = requests.used_bytes + 100
             writer.write(b"".join(harness.build_request() for _ in range(20)))
             (connection,) = harness.gateway.clients.by_state[ConnectionState.AWAITING_RESPONSE]
-            await wait_until(lambda: sockets.has_nothing_to_read(connection.sock))
+            await wait_until(lambda: connection._reading_paused)
+            assert not sockets.has_nothing_to_read(connection.sock), "they wait in the socket"
             assert requests.max_used_bytes <= requests.limit_bytes
             requests.limit_bytes *= 1000
             answers.set()
-            assert (await read_response(reader))[::2] == (200, b"good")
-            assert (await read_response(reader))[0] == 413
+            for _ in range(21):
+                assert (await read_response(reader))[::2] == (200, b"good")
             writer.close()
 
     asyncio.run(scenario())
 
 
+def test_clients_that_send_hundreds_of_requests_at_once_leave_memory_for_first_reads(tmp_path):
+    # Guards against requests read ahead that take the memory until other clients' first requests wait behind them.
+    answers = asyncio.Event()
+
+    async def respond(writer: asyncio.StreamWriter, head: bytes, number: int) -> None:
+        if b"req-kind: read" in head.lower():
+            await answers.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood")
+
+    async def scenario() -> None:
+        async with start_harness(tmp_path, respond) as harness:
+            harness.gateway.memory.requests.limit_bytes = 400_000
+            writers = []
+            for _ in range(22):
+                _, writer = await harness.connect_client()
+                writer.write(
+                    b"".join(harness.build_request(**{"Req-Deadline-Ms": "9000"}) for _ in range(100))
+                )
+                writers.append(writer)
+            awaiting = harness.gateway.clients.by_state[ConnectionState.AWAITING_RESPONSE]
+            await wait_until(lambda: len(awaiting) == len(writers))
+            assert not harness.gateway.clients.counts["waits_for_memory"]
+            for writer in writers:
+                writer.close()
+            answers.set()
+
+    asyncio.run(scenario())
+
+
 def test_client_that_does_not_read_its_response_does_not_take_the_memory_for_others(tmp_path, monkeypatch):
     # Guards against responses that pile up for clients that don't read, until sound clients get none.
     body = b"y" * 900_000
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -155,6 +155,9 @@
 
     def _readable_bytes(self) -> int:
         """Return how many bytes to read now; 0 if the connection has to wait for memory."""
+        if self.state in RESPONDING_STATES and not self._connections.client_memory.has_room_ahead:
+            self._pause_reading()  # until the response is written, or the next timeout check
+            return 0
         if self.state not in RECEIVING_STATES:
             return sockets.MAX_RECEIVE_BYTES  # data that can't be buffered is discarded
         max_bytes = self._connections.client_memory.readable_bytes(self)
--- a/winchdyke/platform/client_memory.py
+++ b/winchdyke/platform/client_memory.py
@@ -11,6 +11,7 @@
 MIN_READ_BYTES = 4 * 1024  # nothing is read while less is available; holds any usual request without a body
 # Part of the memory that is left to clients of which nothing was read yet, so that small requests never wait.
 FIRST_READ_FRACTION = 1 / 8
+READ_AHEAD_FRACTION = 1 / 2  # part of the memory that has to be available for requests to be read ahead
 # Clients send a request at once or nearly so; one that is incomplete for longer makes room for others.
 INCOMPLETE_REQUEST_GRACE_MS = 150.0
 WRITING_GRACE_MS = 1000.0  # time for a client to read its response while others need the memory
@@ -41,9 +42,17 @@
     def readable_bytes(self, connection: ClientConnection) -> int:
         """Return how many bytes may be read from a client now; 0 if it has to wait."""
         if self._has_room:
+            is_first_read = not connection.holds_request_data
+            if is_first_read and not self.has_room_ahead:
+                return MIN_READ_BYTES  # a client that sends many requests at once has one of them read
             return min(sockets.MAX_RECEIVE_BYTES, self._available_bytes)
         return MIN_READ_BYTES if self._has_room_for_first_read and not connection.holds_request_data else 0
 
+    @property
+    def has_room_ahead(self) -> bool:
+        """Whether clients may be read beyond their present request: others don't need the memory."""
+        return self._requests.available_bytes >= self._requests.limit_bytes * READ_AHEAD_FRACTION
+
     @property
     def _available_bytes(self) -> int:
         """The memory that is available beside the part that is left to first reads."""
