--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,8 +1,7 @@
-"""Rules for draining the write-back log and for replaying writes that may have been executed."""
+"""Rules for draining the write-back log."""
 
 from __future__ import annotations
 
-import itertools
 import random
 
 import pytest
@@ -11,14 +10,6 @@
 from hypothesis import strategies as st
 
 from winchdyke.writeback.drain import UNRESTRICTED_FRACTION, DrainBounds, DrainQueue, QueuedRecord
-from winchdyke.writeback.replay import (
-    DEDUPLICATION_MARGIN_MS,
-    AttemptHistory,
-    ReplayAction,
-    StoredContent,
-    action_for_content,
-    choose_action,
-)
 
 
 def record(sequence: int, volume: str = "v", shard: int = 0, **more: object) -> QueuedRecord:
@@ -112,30 +103,3 @@
     [first] = drain.start_next(0.0, {})
     drain.finish_attempt(first.sequence, False)
     assert [each.sequence for each in drain.start_next(0.0, {})] == [1]
-
-
-def test_a_write_that_may_have_been_executed_is_repeated_only_where_it_can_not_take_effect_twice():
-    """All combinations: a repeat only within the deduplication window under its key, or under a precondition."""
-    for has_key, has_condition, reports_etag, same_process in itertools.product((True, False), repeat=4):
-        for age in (0.0, 4000.0 - DEDUPLICATION_MARGIN_MS - 1, 4000.0 - DEDUPLICATION_MARGIN_MS, 4000.0, 1e9):
-            action = choose_action(
-                AttemptHistory(0.0, same_process), age, 4000.0, has_key, has_condition, reports_etag
-            )
-            is_deduplicated = has_key and same_process and age < 4000.0 - DEDUPLICATION_MARGIN_MS
-            if action is ReplayAction.RESEND_WITH_KEY:
-                assert is_deduplicated
-            elif action is ReplayAction.RESEND_CONDITIONALLY:
-                assert has_condition and not is_deduplicated
-            elif action is ReplayAction.QUERY_STORE:
-                assert reports_etag and not has_condition and not is_deduplicated
-            else:
-                assert action is ReplayAction.QUARANTINE and not (
-                    is_deduplicated or has_condition or reports_etag
-                )
-    assert choose_action(AttemptHistory(), 1e9, 0.0, False, False, False) is ReplayAction.SEND
-
-
-def test_the_stored_content_decides_and_an_undecidable_write_is_quarantined():
-    assert action_for_content(StoredContent.OWN) is None
-    assert action_for_content(StoredContent.PREVIOUS) is ReplayAction.RESEND_CONDITIONALLY
-    assert action_for_content(StoredContent.OTHER) is ReplayAction.QUARANTINE
--- a/tests/test_write_order.py
+++ b/tests/test_write_order.py
@@ -229,6 +229,29 @@
     assert next_step(written, "own", stored, SendingHistory(), BOUND_MS) is expected
 
 
+def test_write_that_may_have_run_is_sent_again_only_where_it_can_not_take_effect_twice():
+    # Guards against a second effect: all combinations of what the store holds and what it held before the first sending.
+    written = WriteStamp(10_000.0, "a")
+    stamps = [
+        None,
+        *(WriteStamp(unix_ms, "b") for unix_ms in (1_000.0, 9_900.0, 10_000.0, 10_100.0, 20_000.0)),
+    ]
+    for etag in ("", "before", "other", "own"):
+        for stamp in [*stamps, written]:
+            for modified_ms in (None, 1_000.0, 9_999.0):
+                stored = StoredVersion(etag, stamp, modified_ms)
+                history = SendingHistory("before", possibly_executed=True)
+                step = next_step(written, "own", stored, history, BOUND_MS)
+                if step is NextStep.SEND:
+                    assert etag == "before", "sent under a condition that fails if it has run"
+                elif step is NextStep.STORED:
+                    assert etag == "own"
+                elif step is NextStep.SUPERSEDED:
+                    assert stamp is not None and stamp.unix_ms > written.unix_ms + BOUND_MS
+                else:
+                    assert step is NextStep.QUARANTINE and etag not in ("before", "own")
+
+
 @pytest.mark.parametrize("text", ["", "12", "x;y", "nan;y", "inf;y", ";"])
 def test_stamps_that_can_not_be_read_are_none(text):
     assert parse_stamp(text) is None
