Reserve the port of an emulated store and list service while it is down

Change: a bound socket that doesn't listen holds the port as long as the store exists; the listener shares it.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -341,3 +341,23 @@
             assert len([seen for seen in it.record.entries if seen["what"] == "whole"]) == 1
 
     run()
+
+
+def test_a_store_that_is_down_keeps_its_port():
+    """Guards against a port that another process is given while its store is down: the store could not start again."""
+
+    @run_async
+    async def run():
+        async with rig() as it:
+            store, port = it.stores[0], it.stores[0].port
+            store.kill()
+            await anyio.sleep(0.05)
+            with socket.socket() as client:
+                assert client.connect_ex(("127.0.0.1", port)) == errno.ECONNREFUSED
+            with socket.socket() as other, pytest.raises(OSError, match="in use"):
+                other.bind(("127.0.0.1", port))
+            await store.start(it.group)
+            assert store.port == port
+            assert (await it.request("GET", "/school-1/nothing")).status == 404
+
+    run()
--- a/winchdyke/standins/nodelist.py
+++ b/winchdyke/standins/nodelist.py
@@ -12,7 +12,7 @@
 from anyio.abc import SocketStream, TaskGroup
 
 from winchdyke.standins.record import Record
-from winchdyke.standins.wire import Peer, accept_all, listen, port_of
+from winchdyke.standins.wire import Peer, accept_all, listen, reserve_port
 
 
 class ListService:
@@ -45,8 +45,8 @@
 
     async def start(self, group: TaskGroup) -> None:
         """Listen on the previous port, if any."""
+        self.port = self.port or reserve_port(self)
         listener = await listen(self.port)
-        self.port = port_of(listener)
         self._scope = anyio.CancelScope()
 
         async def run(scope: anyio.CancelScope) -> None:
--- a/winchdyke/standins/store.py
+++ b/winchdyke/standins/store.py
@@ -25,7 +25,7 @@
 from anyio.streams.tls import TLSStream
 
 from winchdyke.standins.record import Record, clock
-from winchdyke.standins.wire import Peer, accept_all, listen, port_of
+from winchdyke.standins.wire import Peer, accept_all, listen, reserve_port
 
 WARM_UPTIME_MS = 3_600_000.0  # added to the reported uptime of a store that was started warm
 STORED_HEADERS = (
@@ -255,8 +255,8 @@
 
     async def start(self, group: TaskGroup, cold: bool = False) -> None:
         """Listen on the previous port, if any; after a cold start the store has reduced capacity at first."""
+        self.port = self.port or reserve_port(self)
         listener = await listen(self.port)
-        self.port = port_of(listener)
         self.cold, self._cold_started_ms = cold, clock() if cold else -1e18
         self.boot, self._started_ms = uuid.uuid4().hex[:12], clock()
         self.silent = self.draining = self.overloaded = False
--- a/winchdyke/standins/wire.py
+++ b/winchdyke/standins/wire.py
@@ -5,11 +5,12 @@
 import select
 import socket
 import struct
+import weakref
 from collections.abc import Awaitable, Callable
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketListener, SocketStream
+from anyio.abc import SocketListener, SocketStream
 
 CONNECTION_ERRORS = (
     anyio.EndOfStream,
@@ -56,6 +57,19 @@
         await anyio.aclose_forcefully(self.stream)
 
 
+def reserve_port(owner: object) -> int:
+    """Reserve a loopback port chosen by the system for as long as its owner exists, and return it.
+
+    The port is held by a bound socket that doesn't listen: a listener may share it, connections are refused while none does,
+    and the system gives it to no other process.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    weakref.finalize(owner, reserved.close)
+    return int(reserved.getsockname()[1])
+
+
 async def listen(port: int = 0) -> SocketListener:
     """Return a loopback listener; port 0 is chosen by the system, a port in use is retried for 1 s."""
     for attempt in range(50):
@@ -70,11 +84,6 @@
     raise AssertionError
 
 
-def port_of(listener: SocketListener) -> int:
-    """Return the port of a listener."""
-    return int(listener.extra(SocketAttribute.local_port))
-
-
 async def accept_all(listener: SocketListener, serve: Callable[[SocketStream], Awaitable[None]]) -> None:
     """Serve connections until cancelled, and then close all of them."""
 
