Put back an import that the stand-ins' HTTP needs

Cause: removed an unused function of standins/wire.py together with the import of SocketAttribute, which two methods still use; six tests of tests/test_attempts.py failed with it.

Change: the import is back.

--- a/winchdyke/standins/wire.py
+++ b/winchdyke/standins/wire.py
@@ -10,7 +10,7 @@
 
 import anyio
 import h11
-from anyio.abc import SocketListener, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream
 
 CONNECTION_ERRORS = (
     anyio.EndOfStream,
