Measure the process once it has its list of stores; look for departed clients in pauses

And of a client whose requests wait in the kernel because memory is short, a close was looked for only before an attempt, so its queued request kept its place until then.

Change: the accounts' limits are set again once the list is there (PeerMemory.fit), and the number of clients follows from these.

--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -185,7 +185,7 @@
             requests.limit_bytes = requests.used_bytes + 100
             writer.write(b"".join(harness.build_request() for _ in range(20)))
             (connection,) = harness.gateway.clients.by_state[ConnectionState.AWAITING_RESPONSE]
-            await wait_until(lambda: connection._reading_paused)
+            await wait_until(lambda: connection.reading_paused)
             assert not sockets.has_nothing_to_read(connection.sock), "they wait in the socket"
             assert requests.max_used_bytes <= requests.limit_bytes
             requests.limit_bytes *= 1000
--- a/tests/test_peer_memory_process.py
+++ b/tests/test_peer_memory_process.py
@@ -139,6 +139,17 @@
     assert memory.large_request_bodies_bytes < memory.requests.limit_bytes
 
 
+def test_what_a_list_of_stores_takes_comes_off_the_accounts_as_well():
+    # Guards against a large fleet whose list is read after the process was measured.
+    memory = PeerMemory.of_machine(64, START_BYTES)
+    before = memory.requests.limit_bytes
+    account = memory.requests
+    memory.fit(START_BYTES + 12 * MEBIBYTE)
+    assert memory.requests is account
+    assert account.limit_bytes == before - 4 * MEBIBYTE
+    assert memory.max_clients(10**6) * MIN_CLIENT_BYTES <= account.limit_bytes
+
+
 def test_process_larger_than_its_limit_still_serves_a_few_clients():
     # Guards against a gateway that admits nobody where its limit is set below what it takes by itself.
     memory = PeerMemory.of_machine(16, START_BYTES)
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -171,7 +171,7 @@
     os.environ["NODE_CONFIG"] = variables["NODE_CONFIG"]
     process_bytes = memory_mb * 2**20 // 4  # as if by itself; a quarter of the limit is then for requests
     loop = asyncio.get_running_loop()
-    gateway = PlatformGateway(configuration.read_environment(variables), loop, process_bytes)
+    gateway = PlatformGateway(configuration.read_environment(variables), loop, lambda: process_bytes)
     serving = asyncio.ensure_future(gateway.run())
     harness = Harness(gateway, store, watches, port)
     harness.entry = entry
--- a/winchdyke/platform/client_connection.py
+++ b/winchdyke/platform/client_connection.py
@@ -52,6 +52,7 @@
     """One client connection.
 
     Attributes:
+        reading_paused: Whether nothing is read at present.
         on_disconnect: Called if the connection closes while a response is pending.
         state_since_ms: When the present state was entered, in milliseconds of the gateway's clock.
         last_received_at_ms: When the kernel received the last bytes, on the same clock; 0 if there were none.
@@ -67,12 +68,12 @@
         "_pipeline_overflowed",
         "_pipelined_bytes",
         "_reader",
-        "_reading_paused",
         "_request_charge",
         "_unsent",
         "close_after_response",
         "last_received_at_ms",
         "on_disconnect",
+        "reading_paused",
         "reserved_body_bytes",
         "sock",
         "state",
@@ -99,7 +100,7 @@
         self._pipelined_bytes = 0
         self._pipeline_overflowed = False
         self._discarded_bytes = 0
-        self._reading_paused = False
+        self.reading_paused = False
 
     def move_to(self, state: ConnectionState) -> None:
         """Change the state."""
@@ -217,14 +218,14 @@
             budget.spend(discard_units(discarded_bytes))
 
     def _pause_reading(self) -> None:
-        if not self._reading_paused:
-            self._reading_paused = True
+        if not self.reading_paused:
+            self.reading_paused = True
             self._connections.loop.remove_reader(self.sock.fileno())
 
     def resume_reading(self) -> None:
         """Resume reading after a pause; does nothing if reading is not paused."""
-        if self._reading_paused:
-            self._reading_paused = False
+        if self.reading_paused:
+            self.reading_paused = False
             self._connections.client_memory.forget(self)
             self._discarded_bytes = 0
             self._connections.loop.add_reader(self.sock.fileno(), self.on_readable)
--- a/winchdyke/platform/client_idle_eviction.py
+++ b/winchdyke/platform/client_idle_eviction.py
@@ -107,7 +107,8 @@
         awaiting = self._by_state[ConnectionState.AWAITING_RESPONSE]
         writing = self._by_state[ConnectionState.WRITING_RESPONSE]
         for connection in [*awaiting, *writing]:
-            connection.resume_reading()
+            if connection.reading_paused and connection.is_still_connected():
+                connection.resume_reading()
 
     def _close_expired(self, state: ConnectionState, now_ms: float, timeout_ms: float) -> None:
         for connection in list(self._by_state[state]):
--- a/winchdyke/platform/peer_memory.py
+++ b/winchdyke/platform/peer_memory.py
@@ -72,10 +72,11 @@
 class PeerMemory:
     """The accounts of a machine's memory for peers, and the limits of single messages."""
 
+    limit_bytes: float
+    store_connections_bytes: int
     requests: MemoryAccount
     responses: MemoryAccount
     max_request_body_bytes: int
-    large_request_bodies_bytes: int
     max_response_body_bytes: int
 
     @classmethod
@@ -88,16 +89,28 @@
             store_connections: How many connections to stores may be open; they are charged in advance.
         """
         memory_bytes = memory_mb * 2**20
-        in_use_bytes = process_bytes + store_connections * CONNECTION_OBJECTS_BYTES
-        left_bytes = max(memory_bytes - in_use_bytes, memory_bytes * MIN_PEER_MEMORY_FRACTION)
-        requests_bytes = int(left_bytes * REQUESTS_MEMORY_FRACTION)
-        return cls(
-            MemoryAccount(requests_bytes),
-            MemoryAccount(int(left_bytes * RESPONSES_MEMORY_FRACTION)),
+        memory = cls(
+            memory_bytes,
+            store_connections * CONNECTION_OBJECTS_BYTES,
+            MemoryAccount(0),
+            MemoryAccount(0),
             max(protocol.MAX_BODY_BYTES, int(memory_bytes * MAX_REQUEST_BODY_FRACTION)),
-            int(requests_bytes * LARGE_REQUEST_BODIES_FRACTION),
             max(protocol.MAX_BODY_BYTES, int(memory_bytes * MAX_RESPONSE_BODY_FRACTION)),
         )
+        memory.fit(process_bytes)
+        return memory
+
+    def fit(self, process_bytes: int) -> None:
+        """Set the limits of the accounts beside what the process has in use before its first peer connects."""
+        left_bytes = self.limit_bytes - process_bytes - self.store_connections_bytes
+        left_bytes = max(left_bytes, self.limit_bytes * MIN_PEER_MEMORY_FRACTION)
+        self.requests.limit_bytes = int(left_bytes * REQUESTS_MEMORY_FRACTION)
+        self.responses.limit_bytes = int(left_bytes * RESPONSES_MEMORY_FRACTION)
+
+    @property
+    def large_request_bodies_bytes(self) -> int:
+        """The memory for all request bodies that exceed the protocol's limit."""
+        return int(self.requests.limit_bytes * LARGE_REQUEST_BODIES_FRACTION)
 
     def max_clients(self, max_by_descriptors: int) -> int:
         """Return how many clients may be connected, so that each of them can have a request open."""
--- a/winchdyke/platform/service.py
+++ b/winchdyke/platform/service.py
@@ -7,6 +7,7 @@
 import os
 import signal
 from collections import Counter
+from collections.abc import Callable
 
 import structlog
 
@@ -47,12 +48,15 @@
 class PlatformGateway:
     """The components of one gateway: passes events to the scheduler and carries out its actions.
 
-    ``process_bytes`` is the memory that the process has in use before it serves. Raises OSError if the listening
-    socket can't be opened.
+    ``process_bytes`` returns the memory that the process has in use; it is looked at before the gateway serves, once
+    it has the cached endpoint list. Raises OSError if the listening socket can't be opened.
     """
 
     def __init__(
-        self, environment: configuration.Environment, loop: asyncio.AbstractEventLoop, process_bytes: int
+        self,
+        environment: configuration.Environment,
+        loop: asyncio.AbstractEventLoop,
+        process_bytes: Callable[[], int],
     ) -> None:
         self.environment = environment
         self.loop = loop
@@ -67,8 +71,7 @@
         client_descriptors = int(descriptors * CLIENT_DESCRIPTOR_FRACTION)
         self.turn_budget = TurnBudget(loop.call_soon)
         store_descriptors = descriptors - client_descriptors
-        self.memory = PeerMemory.of_machine(environment.limits.memory_mb, process_bytes, store_descriptors)
-        max_clients = self.memory.max_clients(client_descriptors)
+        self.memory = PeerMemory.of_machine(environment.limits.memory_mb, process_bytes(), store_descriptors)
         self.upstream_pool = self._make_upstream_pool(store_descriptors)
         self.endpoints = EndpointDirectory(self.scheduler_loop, self.upstream_pool, self.clock)
         self.forwarder = RequestForwarder(
@@ -77,6 +80,8 @@
         cached = self._read_cached_list()
         self.endpoints.apply(cached, EndpointListKind.CACHED)
         self.scheduler_loop.process_events()
+        self.memory.fit(process_bytes())
+        max_clients = self.memory.max_clients(client_descriptors)
         listening_socket = sockets.open_listener(environment.listen_address, LISTEN_BACKLOG)
         self.clients = self._make_clients()
         self.upstream_pool.response_memory.make_room = self.clients.client_memory.evict_slow_reader
@@ -254,7 +259,7 @@
     """
     loop = asyncio.get_running_loop()
     environment = configuration.read_environment(os.environ)
-    gateway = PlatformGateway(environment, loop, own_memory_bytes())
+    gateway = PlatformGateway(environment, loop, own_memory_bytes)
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     loop.add_signal_handler(signal.SIGTERM, gateway.stop)
     for number in early_signals:
