--- a/winchdyke/writeback/write_order.py
+++ b/winchdyke/writeback/write_order.py
@@ -66,7 +66,7 @@
     Attributes:
         etag: The object's ETag; empty: there is no such object.
         stamp: The stamp of the write or the deletion that was the last one; None: the store has none.
-        modified_ms: When the store wrote it, in Unix ms, rounded down to a second; None: not told.
+        modified_ms: When the store wrote it, in Unix ms, rounded down to a second; None: not reported.
     """
 
     etag: str
@@ -92,10 +92,10 @@
 class NextStep(Enum):
     """What to do with a record, given what its store holds."""
 
-    SEND = auto()  # under the condition that the store still holds this
-    STORED = auto()  # the store holds the record's write
-    SUPERSEDED = auto()  # the store holds a write that was acknowledged later
-    QUARANTINE = auto()  # it can't be told
+    SEND = auto()  # Send it, under the condition that the store still holds this version.
+    STORED = auto()  # The store holds the record's write.
+    SUPERSEDED = auto()  # The store holds a write that was acknowledged later.
+    QUARANTINE = auto()  # The order of the two writes is unknown.
 
 
 class _Order(Enum):
