Do without the kernel's report of a close where the system has none

Cause: select.POLLRDHUP exists on Linux alone; elsewhere a gateway for development would not have started.

Change: where it is missing, a close is found as before, once all data before it was read.

Another system was not tried.

--- a/winchdyke/gateway/clients.py
+++ b/winchdyke/gateway/clients.py
@@ -35,6 +35,9 @@
 MAX_DISCARDED_BODY_BYTES = 64 * 1024
 # Time for a client to read its response before a connection with an unread body is closed.
 LINGER_SECONDS = 1.0
+POLLRDHUP: int = getattr(
+    select, "POLLRDHUP", 0
+)  # only on Linux; elsewhere a close behind unread data is not found
 
 RequestHandler = Callable[["ClientConnection", RequestHead], Awaitable[None]]
 
@@ -80,7 +83,7 @@
         self._scope = anyio.CancelScope()
         # Errors and hang-ups are always reported.
         self._close_poll = select.poll()
-        self._close_poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLRDHUP)
+        self._close_poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), POLLRDHUP)
 
     @property
     def stream(self) -> SocketStream:
--- a/winchdyke/gateway/writeback.py
+++ b/winchdyke/gateway/writeback.py
@@ -298,7 +298,7 @@
             self._retry_later(waiting)
         elif result.status < 300:
             self._complete(waiting, record)
-        elif result.status == 412:  # the object has changed since; the next sending checks the order again
+        elif result.status == 412:  # The object has changed since; the next sending checks the order again.
             self._retry_later(waiting)
         else:
             self._quarantine(waiting, f"its store responded with status {result.status}")
--- a/winchdyke/platform/sockets.py
+++ b/winchdyke/platform/sockets.py
@@ -18,6 +18,7 @@
 
 # The socket module doesn't define this constant; 35 is its value on Linux.
 SO_TIMESTAMPNS = getattr(socket, "SO_TIMESTAMPNS", 35)
+POLLRDHUP: int = getattr(select, "POLLRDHUP", 0)  # only on Linux
 TIMESPEC = struct.Struct("@qq")
 ANCILLARY_BYTES = socket.CMSG_SPACE(TIMESPEC.size)
 MAX_RECEIVE_BYTES = 64 * 1024
@@ -88,9 +89,14 @@
 
 
 def peer_has_closed(sock: socket.socket) -> bool:
-    """Return whether the kernel has received the peer's close or reset, also behind unread data. Consumes nothing."""
+    """Return whether the kernel has received the peer's close or reset, also behind unread data. Consumes nothing.
+
+    Where the system can't report that, a close behind unread data is not found.
+    """
+    if not POLLRDHUP:
+        return is_at_end(sock)
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)  # poll() always reports errors and hang-ups too
+    poll.register(sock.fileno(), POLLRDHUP)  # poll() always reports errors and hang-ups too
     return bool(poll.poll(0))
 
 
